--- /dev/null
+++ b/internal/direct/directory/changes.go
@@ -0,0 +1,113 @@
+package directory
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/model"
+)
+
+// RouteEntry is what a balancer needs of a route.
+type RouteEntry struct {
+	Address netip.AddrPort
+	Pool    []declared.PoolPart
+}
+
+// TargetEntry is what a balancer needs of a target.
+type TargetEntry struct {
+	Token   Token
+	ID      TargetID
+	Service string
+	Address netip.AddrPort
+	Zone    string
+	// Capacity is the number of requests that the target works on at once.
+	Capacity int
+	State    TargetState
+	Cold     time.Duration
+}
+
+// Changes is what changed between two revisions. With Whole, it is everything
+// and replaces what the reader has.
+type Changes struct {
+	Whole    bool
+	From, To model.Revision
+	// Version is the declared version at To.
+	Version     uint64
+	IdleTimeout time.Duration
+	Routes      []RouteEntry
+	Removed     []netip.AddrPort
+	Targets     []TargetEntry
+	Forgotten   []Token
+}
+
+// ChangesSince returns what changed after the revision from. A reader that is
+// ahead of this copy gets no changes; it must not go back.
+func (directory *Directory) ChangesSince(from model.Revision) Changes {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	changes := Changes{
+		From:        from,
+		To:          directory.revision,
+		Version:     directory.configuration.Version,
+		IdleTimeout: directory.configuration.Limits.IdleTimeout,
+	}
+	if from > directory.revision {
+		return changes
+	}
+	if from == 0 || from < directory.removedFloor {
+		changes.Whole = true
+		changes.From = 0
+		from = 0
+	}
+	if directory.configurationAt > from || changes.Whole {
+		directory.collectRoutes(&changes, from)
+	}
+	for _, target := range directory.targets {
+		if target.Revision > from {
+			changes.Targets = append(changes.Targets, target.entry())
+		}
+	}
+	slices.SortFunc(changes.Targets, func(left, right TargetEntry) int { return cmp.Compare(left.Token, right.Token) })
+	if !changes.Whole {
+		directory.collectRemovals(&changes, from)
+	}
+	return changes
+}
+
+func (target *Target) entry() TargetEntry {
+	return TargetEntry{
+		Token:    target.Token,
+		ID:       target.ID,
+		Service:  target.Service,
+		Address:  target.Address,
+		Zone:     target.Zone,
+		Capacity: target.Capacity,
+		State:    target.State,
+		Cold:     target.Cold,
+	}
+}
+
+func (directory *Directory) collectRoutes(changes *Changes, from model.Revision) {
+	for address, record := range directory.routes {
+		if record.revision > from || changes.Whole {
+			changes.Routes = append(changes.Routes, RouteEntry{Address: address, Pool: record.route.Pool})
+		}
+	}
+	slices.SortFunc(changes.Routes, func(left, right RouteEntry) int { return left.Address.Compare(right.Address) })
+}
+
+func (directory *Directory) collectRemovals(changes *Changes, from model.Revision) {
+	for _, removed := range directory.removed {
+		if _, back := directory.routes[removed.address]; removed.revision > from && !back {
+			changes.Removed = append(changes.Removed, removed.address)
+		}
+	}
+	for _, forgotten := range directory.forgotten {
+		if forgotten.revision > from {
+			changes.Forgotten = append(changes.Forgotten, forgotten.token)
+		}
+	}
+}
--- /dev/null
+++ b/internal/direct/directory/command.go
@@ -0,0 +1,78 @@
+package directory
+
+import (
+	"bytes"
+	"encoding/gob"
+
+	"merlinpaddle/internal/direct/declared"
+)
+
+// Command is one change of the directory in the replicated log. Exactly one
+// field is set.
+type Command struct {
+	Declare  *declared.Difference
+	Register *Registration
+	Leave    *Departure
+	Health   *HealthChange
+	Forget   *Forgetting
+}
+
+// Registration adds a target or changes its state. A registration whose
+// sequence is not above the target's latest one is late and changes nothing.
+type Registration struct {
+	// Target has the stated fields; its token, revision and former state are
+	// ignored.
+	Target Target
+}
+
+// Departure tells that a target leaves for good.
+type Departure struct {
+	ID TargetID
+}
+
+// HealthChange records that targets were found dead, or alive again.
+type HealthChange struct {
+	Failed    []TargetID
+	Recovered []TargetID
+}
+
+// Forgetting takes targets out whose last flows are past their longest life.
+type Forgetting struct {
+	IDs []TargetID
+}
+
+// Result is the outcome of a command.
+type Result struct {
+	// Conflict tells that a declaration was made against another version
+	// than the one held; nothing changed and it is to be made again.
+	Conflict bool
+	// Version is the declared version that is held now.
+	Version uint64
+	// Token is the registered target's.
+	Token Token
+}
+
+// EncodeCommand returns the command as the data of a log entry.
+func EncodeCommand(command Command) ([]byte, error) { return encode(command) }
+
+// EncodeResult returns the result as bytes.
+func EncodeResult(result Result) ([]byte, error) { return encode(result) }
+
+func encode(value any) ([]byte, error) {
+	var buffer bytes.Buffer
+	err := gob.NewEncoder(&buffer).Encode(value)
+	return buffer.Bytes(), err
+}
+
+// DecodeResult is the inverse of EncodeResult.
+func DecodeResult(data []byte) (Result, error) {
+	var result Result
+	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&result)
+	return result, err
+}
+
+func decodeCommand(data []byte) (Command, error) {
+	var command Command
+	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&command)
+	return command, err
+}
--- /dev/null
+++ b/internal/direct/directory/directory.go
@@ -0,0 +1,169 @@
+// Package directory is the replicated state of direct services: the declared
+// configuration and the targets that register by themselves, each with the
+// token that flows carry.
+//
+// It is a pure state machine for the control group's log (replica.StateMachine)
+// and, for readers, a store of objects with the revision of their last change.
+//
+// Invariants:
+//   - the declared version never goes back;
+//   - a token names one incarnation of one target for ever;
+//   - a target that drains never takes new flows again.
+package directory
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/model"
+)
+
+// Token names one incarnation of a target in the packets of its flows. Zero
+// means "no token". Tokens are given in ascending order and never reused.
+type Token uint32
+
+// TargetID is a target's own identifier of one incarnation. Zero means "none".
+type TargetID uint64
+
+// TargetState is the state of one incarnation of a target.
+type TargetState uint8
+
+// The states of a target. A state other than Failed never goes back to an
+// earlier one.
+const (
+	// TargetReady takes new flows.
+	TargetReady TargetState = iota + 1
+	// TargetDraining keeps its flows and takes no new ones.
+	TargetDraining
+	// TargetLeft said that it leaves; its flows are served while it lasts.
+	TargetLeft
+	// TargetFailed was found dead: its flows are lost.
+	TargetFailed
+)
+
+// String returns the state's name.
+func (state TargetState) String() string {
+	names := [...]string{"unknown", "ready", "draining", "left", "failed"}
+	if int(state) >= len(names) {
+		return names[0]
+	}
+	return names[state]
+}
+
+// Target is one incarnation of one target.
+type Target struct {
+	ID      TargetID
+	Token   Token
+	Service string
+	Address netip.AddrPort
+	Zone    string
+	// Version is the version of the target's software.
+	Version  string
+	Capacity int
+	State    TargetState
+	// Before is the state that a failed target returns to when it answers.
+	Before TargetState
+	// Cold is how long the target stays slow after its registration.
+	Cold time.Duration
+	// Sequence is the number of the latest call that changed the target.
+	Sequence uint64
+	// Revision is that of the target's last change.
+	Revision model.Revision
+}
+
+// routeRecord is a route with the revision of its last change.
+type routeRecord struct {
+	route    declared.Route
+	revision model.Revision
+}
+
+// removedRoute tells that a route is gone since a revision.
+type removedRoute struct {
+	address  netip.AddrPort
+	revision model.Revision
+}
+
+// Directory is the replicated state. Apply, Snapshot, Restore and Digest are
+// for the log's owner alone; all other methods may be called at any time.
+type Directory struct {
+	lock     sync.RWMutex
+	revision model.Revision
+	// configuration is replaced as a whole and never modified.
+	configuration *declared.Configuration
+	// configurationAt is the revision of the latest declaration, limitsAt
+	// that of the latest change of services or limits.
+	configurationAt model.Revision
+	limitsAt        model.Revision
+	routes          map[netip.AddrPort]routeRecord
+	removed         []removedRoute
+	// removedFloor is the revision before which removals are forgotten.
+	removedFloor model.Revision
+	targets      map[TargetID]*Target
+	// forgotten are tokens of targets that were taken out.
+	forgotten []forgottenTarget
+	nextToken Token
+}
+
+// forgottenTarget tells that a target was taken out of the directory.
+type forgottenTarget struct {
+	token    Token
+	revision model.Revision
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	directory := &Directory{}
+	directory.clear()
+	return directory
+}
+
+func (directory *Directory) clear() {
+	directory.revision = 0
+	directory.configuration = &declared.Configuration{}
+	directory.configurationAt = 0
+	directory.limitsAt = 0
+	directory.routes = make(map[netip.AddrPort]routeRecord)
+	directory.removed = nil
+	directory.removedFloor = 0
+	directory.targets = make(map[TargetID]*Target)
+	directory.forgotten = nil
+	directory.nextToken = 1
+}
+
+// Revision returns the revision of the latest applied command.
+func (directory *Directory) Revision() model.Revision {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	return directory.revision
+}
+
+// Configuration returns the declared configuration. It must not be modified.
+func (directory *Directory) Configuration() *declared.Configuration {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	return directory.configuration
+}
+
+// Target returns the target with the identifier.
+func (directory *Directory) Target(id TargetID) (Target, bool) {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	target, exists := directory.targets[id]
+	if !exists {
+		return Target{}, false
+	}
+	return *target, true
+}
+
+// Targets returns copies of all targets, in no stated order.
+func (directory *Directory) Targets() []Target {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	targets := make([]Target, 0, len(directory.targets))
+	for _, target := range directory.targets {
+		targets = append(targets, *target)
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/direct/directory/snapshot.go
@@ -0,0 +1,83 @@
+package directory
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/gob"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/model"
+)
+
+// savedState is the whole directory as it is stored.
+type savedState struct {
+	Revision        model.Revision
+	Configuration   declared.Configuration
+	ConfigurationAt model.Revision
+	Targets         []Target
+	NextToken       Token
+}
+
+// Snapshot implements replica.StateMachine.
+func (directory *Directory) Snapshot() ([]byte, error) {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	return directory.encodeState()
+}
+
+func (directory *Directory) encodeState() ([]byte, error) {
+	saved := savedState{
+		Revision:        directory.revision,
+		Configuration:   *directory.configuration,
+		ConfigurationAt: directory.configurationAt,
+		Targets:         make([]Target, 0, len(directory.targets)),
+		NextToken:       directory.nextToken,
+	}
+	for _, target := range directory.targets {
+		saved.Targets = append(saved.Targets, *target)
+	}
+	slices.SortFunc(saved.Targets, func(left, right Target) int { return cmp.Compare(left.Token, right.Token) })
+	var buffer bytes.Buffer
+	err := gob.NewEncoder(&buffer).Encode(saved)
+	return buffer.Bytes(), err
+}
+
+// Restore implements replica.StateMachine. Readers that are behind the
+// restored revision get everything.
+func (directory *Directory) Restore(snapshot []byte) error {
+	var saved savedState
+	if err := gob.NewDecoder(bytes.NewReader(snapshot)).Decode(&saved); err != nil {
+		return err
+	}
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	directory.clear()
+	directory.revision = saved.Revision
+	directory.configuration = &saved.Configuration
+	directory.configurationAt = saved.ConfigurationAt
+	directory.limitsAt = saved.ConfigurationAt
+	directory.removedFloor = saved.Revision
+	directory.nextToken = saved.NextToken
+	for _, route := range saved.Configuration.Routes {
+		directory.routes[route.Address] = routeRecord{route: route, revision: saved.ConfigurationAt}
+	}
+	for index := range saved.Targets {
+		target := saved.Targets[index]
+		directory.targets[target.ID] = &target
+	}
+	return nil
+}
+
+// Digest implements replica.StateMachine.
+func (directory *Directory) Digest() uint64 {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	data, err := directory.encodeState()
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(data)
+}
--- /dev/null
+++ b/internal/direct/probe/probe.go
@@ -0,0 +1,111 @@
+// Package probe finds out whether anything listens at a target's address. A
+// probe opens one TCP connection and closes it at once; it asks for nothing,
+// so it costs the target no capacity.
+package probe
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"merlinpaddle/internal/board"
+)
+
+// Outcome is what a probe found.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Answered: something listens at the address.
+	Answered Outcome = iota + 1
+	// Refused: the machine answers and nothing listens.
+	Refused
+	// Silent: the machine does not answer.
+	Silent
+)
+
+// Result is the outcome of one probe.
+type Result struct {
+	// Key is what Start was given.
+	Key     uint64
+	Outcome Outcome
+}
+
+const (
+	// timeout bounds one probe.
+	timeout = 300 * time.Millisecond
+	// concurrent bounds the probes that run at once; others are left out, and
+	// asked for again by whoever wants them.
+	concurrent = 32
+	// resultsKept bounds the results that wait to be read.
+	resultsKept = 1024
+)
+
+// Dial opens a connection to an address or returns why it cannot.
+type Dial func(ctx context.Context, address netip.AddrPort) error
+
+// DialTCP is the Dial of processes.
+func DialTCP(ctx context.Context, address netip.AddrPort) error {
+	var dialer net.Dialer
+	connection, err := dialer.DialContext(ctx, "tcp4", address.String())
+	if err != nil {
+		return err
+	}
+	return connection.Close()
+}
+
+// Prober runs probes.
+type Prober struct {
+	// Results has the outcomes.
+	Results *board.Queue[Result]
+
+	dial    Dial
+	lock    sync.Mutex
+	running map[uint64]bool
+}
+
+// New returns a prober that probes with dial.
+func New(dial Dial) *Prober {
+	return &Prober{
+		Results: board.NewQueue[Result]("probe results", resultsKept),
+		dial:    dial,
+		running: make(map[uint64]bool),
+	}
+}
+
+// Start probes address and puts the outcome into Results. A second probe of
+// the same key at the same time is left out.
+func (prober *Prober) Start(key uint64, address netip.AddrPort) {
+	prober.lock.Lock()
+	defer prober.lock.Unlock()
+	if prober.running[key] || len(prober.running) >= concurrent {
+		return
+	}
+	prober.running[key] = true
+	go prober.run(key, address)
+}
+
+func (prober *Prober) run(key uint64, address netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	outcome := classify(prober.dial(ctx, address))
+	prober.lock.Lock()
+	delete(prober.running, key)
+	prober.lock.Unlock()
+	prober.Results.Put(Result{Key: key, Outcome: outcome})
+}
+
+func classify(err error) Outcome {
+	switch {
+	case err == nil:
+		return Answered
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
+	default:
+		return Silent
+	}
+}
--- /dev/null
+++ b/internal/direct/registrar/health.go
@@ -0,0 +1,280 @@
+package registrar
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"merlinpaddle/internal/board"
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/feed"
+	"merlinpaddle/internal/direct/probe"
+	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/protocol"
+)
+
+// HealthOptions are the bounds of failure detection.
+type HealthOptions struct {
+	// SilentAfter is how long a target may send no renewal before it is
+	// probed.
+	SilentAfter time.Duration
+	// ProbePause is the least time between two probes of one target.
+	ProbePause time.Duration
+	// ForgetAfter is how long a failed target's token is kept: the longest
+	// life of a flow and a margin.
+	ForgetAfter time.Duration
+}
+
+// renewalInterval is the time between two messages that fold renewals.
+const renewalInterval = 250 * time.Millisecond
+
+// observation is what the leader remembers of a target in memory.
+type observation struct {
+	seenAt   time.Time
+	probedAt time.Time
+	failedAt time.Time
+	// proposedAt is when a change of the target was last proposed.
+	proposedAt time.Time
+	silent     int
+}
+
+// Health is the controller that finds dead targets. Members pass renewals and
+// reports of balancers to the leader; the leader probes what is silent and
+// commits what it finds.
+type Health struct {
+	options   HealthOptions
+	mailbox   *protocol.Mailbox
+	group     Group
+	directory *directory.Directory
+	renewed   *Renewed
+	told      uint64
+	renewals  *board.Queue[protocol.Envelope]
+	reports   *board.Queue[protocol.Envelope]
+	prober    *probe.Prober
+
+	observed map[directory.TargetID]*observation
+	since    time.Time
+	term     uint64
+	toldAt   time.Time
+}
+
+// NewHealth returns the failure detector of one member.
+func NewHealth(options HealthOptions, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, group Group,
+	directory *directory.Directory, renewed *Renewed, prober *probe.Prober) *Health {
+	return &Health{
+		options:   options,
+		mailbox:   mailbox,
+		group:     group,
+		directory: directory,
+		renewed:   renewed,
+		renewals:  dispatcher.Handle(Renewals{}),
+		reports:   dispatcher.Handle(feed.HealthReport{}),
+		prober:    prober,
+		observed:  newObserved(),
+	}
+}
+
+func newObserved() map[directory.TargetID]*observation {
+	return make(map[directory.TargetID]*observation)
+}
+
+// Name implements board.Controller.
+func (health *Health) Name() string { return "target health" }
+
+// Sources returns the channels whose notices call for a Reconcile.
+func (health *Health) Sources() []<-chan struct{} {
+	return []<-chan struct{}{health.reports.Watch(), health.prober.Results.Watch()}
+}
+
+// Reconcile implements board.Controller.
+func (health *Health) Reconcile(now time.Time) {
+	status := health.group.StatusAt(now)
+	renewals := health.takeRenewals(now)
+	if !status.Leading {
+		health.passOn(now, status.Leader, renewals)
+		health.observed = newObserved()
+		health.since = time.Time{}
+		health.prober.Results.Drain()
+		return
+	}
+	if health.since.IsZero() || health.term != status.Term {
+		health.since = now
+		health.term = status.Term
+		health.observed = newObserved()
+	}
+	health.note(now, renewals)
+	health.takeReports(now)
+	health.takeResults(now)
+	health.inspect(now)
+}
+
+// takeRenewals returns the targets that were heard from at this member since
+// the last call, and those that other members told.
+func (health *Health) takeRenewals(now time.Time) []Renewal {
+	var renewals []Renewal
+	for _, envelope := range health.renewals.Drain() {
+		message, _ := envelope.Message.(Renewals)
+		renewals = append(renewals, message.Targets...)
+	}
+	if now.Sub(health.toldAt) < renewalInterval {
+		return renewals
+	}
+	health.toldAt = now
+	latest := health.told
+	health.renewed.Range(func(id directory.TargetID, row board.Row[time.Time]) bool {
+		if row.Revision > health.told {
+			renewals = append(renewals, Renewal{ID: id, Ago: now.Sub(row.Value)})
+			latest = max(latest, row.Revision)
+		}
+		return true
+	})
+	health.told = latest
+	slices.SortFunc(renewals, func(left, right Renewal) int {
+		if left.ID < right.ID {
+			return -1
+		}
+		return 1
+	})
+	return renewals
+}
+
+// passOn sends the leader what this member heard.
+func (health *Health) passOn(_ time.Time, leader model.NodeName, renewals []Renewal) {
+	reports := health.reports.Drain()
+	if leader == "" || leader == health.mailbox.Self {
+		return
+	}
+	if len(renewals) > 0 {
+		health.mailbox.Send(leader, Renewals{Targets: renewals})
+	}
+	for _, envelope := range reports {
+		health.mailbox.Send(leader, envelope.Message)
+	}
+}
+
+func (health *Health) observation(id directory.TargetID) *observation {
+	known := health.observed[id]
+	if known == nil {
+		known = &observation{seenAt: health.since}
+		health.observed[id] = known
+	}
+	return known
+}
+
+// note takes renewals in. A failed target that renews after it failed is
+// alive.
+func (health *Health) note(now time.Time, renewals []Renewal) {
+	for _, renewal := range renewals {
+		known := health.observation(renewal.ID)
+		seenAt := now.Add(-renewal.Ago)
+		if seenAt.After(known.seenAt) {
+			known.seenAt = seenAt
+		}
+		known.silent = 0
+	}
+}
+
+func (health *Health) takeReports(now time.Time) {
+	for _, envelope := range health.reports.Drain() {
+		report, _ := envelope.Message.(feed.HealthReport)
+		target, exists := health.directory.Target(report.ID)
+		if !exists || target.State == directory.TargetFailed {
+			continue
+		}
+		if report.Verdict == feed.VerdictRefused {
+			health.fail(now, target.ID)
+			continue
+		}
+		health.probe(now, target.ID, target.Address)
+	}
+}
+
+func (health *Health) probe(now time.Time, id directory.TargetID, address netip.AddrPort) {
+	known := health.observation(id)
+	if now.Sub(known.probedAt) < health.options.ProbePause {
+		return
+	}
+	known.probedAt = now
+	health.prober.Start(uint64(id), address)
+}
+
+// silentProbes is the number of unanswered probes in a row after which a
+// target counts as dead.
+const silentProbes = 2
+
+func (health *Health) takeResults(now time.Time) {
+	for _, result := range health.prober.Results.Drain() {
+		id := directory.TargetID(result.Key)
+		known := health.observation(id)
+		switch result.Outcome {
+		case probe.Refused:
+			health.fail(now, id)
+		case probe.Silent:
+			known.silent++
+			if known.silent >= silentProbes {
+				health.fail(now, id)
+			} else {
+				known.probedAt = time.Time{}
+			}
+		case probe.Answered:
+			known.silent = 0
+			known.seenAt = now
+		}
+	}
+}
+
+func (health *Health) fail(now time.Time, id directory.TargetID) {
+	known := health.observation(id)
+	known.failedAt = now
+	health.propose(now, id, directory.Command{Health: &directory.HealthChange{Failed: []directory.TargetID{id}}})
+}
+
+// proposePause is the least time between two proposals about one target.
+const proposePause = 500 * time.Millisecond
+
+func (health *Health) propose(now time.Time, id directory.TargetID, command directory.Command) {
+	known := health.observation(id)
+	if now.Sub(known.proposedAt) < proposePause {
+		return
+	}
+	known.proposedAt = now
+	data, err := directory.EncodeCommand(command)
+	if err != nil {
+		return
+	}
+	health.group.Submit(data, func([]byte, error) {})
+}
+
+// inspect looks at every target for silence, return and age.
+func (health *Health) inspect(now time.Time) {
+	for _, target := range health.directory.Targets() {
+		known := health.observation(target.ID)
+		switch target.State {
+		case directory.TargetFailed:
+			health.inspectFailed(now, target.ID, known)
+		case directory.TargetLeft:
+			health.probeWhenSilent(now, &target, known, health.options.ProbePause)
+		default:
+			health.probeWhenSilent(now, &target, known, health.options.SilentAfter)
+		}
+	}
+}
+
+func (health *Health) probeWhenSilent(now time.Time, target *directory.Target, known *observation, limit time.Duration) {
+	if now.Sub(known.seenAt) >= limit {
+		health.probe(now, target.ID, target.Address)
+	}
+}
+
+func (health *Health) inspectFailed(now time.Time, id directory.TargetID, known *observation) {
+	if known.failedAt.IsZero() {
+		known.failedAt = now
+	}
+	switch {
+	case known.seenAt.After(known.failedAt):
+		known.failedAt = time.Time{}
+		health.propose(now, id, directory.Command{Health: &directory.HealthChange{Recovered: []directory.TargetID{id}}})
+	case now.Sub(known.failedAt) > health.options.ForgetAfter:
+		health.propose(now, id, directory.Command{Forget: &directory.Forgetting{IDs: []directory.TargetID{id}}})
+	}
+}
--- /dev/null
+++ b/internal/direct/steer/segment.go
@@ -0,0 +1,106 @@
+// Package steer decides where each packet of a direct service goes: to the
+// target that its flow token names, to a chosen target for an opening packet,
+// back to the caller as a reset, or nowhere.
+//
+// Decisions need no state of flows. Every balancer with the same table makes
+// the same choice for the same opening packet, and finds the owner of every
+// open flow from the token that both ends copy into their packets.
+package steer
+
+import (
+	"net/netip"
+
+	"merlinpaddle/internal/direct/directory"
+)
+
+// Segment is what a decision needs of one packet of a caller.
+type Segment struct {
+	// Caller is the caller's end of the flow.
+	Caller netip.AddrPort
+	// Service is the address and port that the caller addressed.
+	Service netip.AddrPort
+	// Token is the flow token that the packet carries.
+	Token directory.Token
+	// Opening tells that the packet asks for a new flow.
+	Opening bool
+	// Attempt counts the copies of an opening packet, from zero.
+	Attempt int
+	// Abort tells that the packet itself ends its flow at once; it is never
+	// answered.
+	Abort bool
+}
+
+// Action is what a balancer does with a packet.
+type Action uint8
+
+// The actions.
+const (
+	// Drop does nothing; the caller sends the packet again.
+	Drop Action = iota
+	// Forward sends the packet to Decision.Target with Decision.Token.
+	Forward
+	// Reset tells the caller that the flow is over.
+	Reset
+)
+
+// Reason tells why a decision was made. The values are stable; they name
+// metrics and log lines.
+type Reason uint8
+
+// The reasons.
+const (
+	// ReasonChosen: an opening packet got its target.
+	ReasonChosen Reason = iota
+	// ReasonOwner: the token names the flow's target.
+	ReasonOwner
+	// ReasonNoTable: this balancer has no table yet.
+	ReasonNoTable
+	// ReasonNoRoute: no route has the address, and the table is current.
+	ReasonNoRoute
+	// ReasonNoRouteStale: no route has the address, in a table that may be old.
+	ReasonNoRouteStale
+	// ReasonNoTarget: no target of the pool takes new flows.
+	ReasonNoTarget
+	// ReasonUnknownToken: the table does not have the token.
+	ReasonUnknownToken
+	// ReasonTargetFailed: the flow's target was found dead.
+	ReasonTargetFailed
+	// ReasonMissingToken: a packet of an open flow carries no token.
+	ReasonMissingToken
+	reasonCount
+)
+
+var reasonNames = [reasonCount]string{
+	"chosen", "owner", "no_table", "no_route", "no_route_stale", "no_target",
+	"unknown_token", "target_failed", "missing_token",
+}
+
+// String returns the reason's stable name.
+func (reason Reason) String() string {
+	if reason >= reasonCount {
+		return "unknown"
+	}
+	return reasonNames[reason]
+}
+
+// Reasons returns all reasons.
+func Reasons() []Reason {
+	reasons := make([]Reason, 0, reasonCount)
+	for reason := range reasonCount {
+		reasons = append(reasons, reason)
+	}
+	return reasons
+}
+
+// Decision is the outcome for one packet.
+type Decision struct {
+	Action Action
+	Reason Reason
+	// The fields below are set with Forward.
+	Token  directory.Token
+	ID     directory.TargetID
+	Target netip.AddrPort
+	// Suspect is the token of the target that did not answer the former copy
+	// of this opening packet, or zero.
+	Suspect directory.Token
+}
--- /dev/null
+++ b/internal/direct/steer/table.go
@@ -0,0 +1,236 @@
+package steer
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/model"
+)
+
+// Options are the bounds that a table works with.
+type Options struct {
+	// SettleTime is how long a target that was just learned gets no new
+	// flows, so that every balancer knows its token by then.
+	SettleTime time.Duration
+	// FreshFor is how long after the last sign of a confirmed member the table
+	// counts as current.
+	FreshFor time.Duration
+	// AvoidFor is how long a target that a probe found dead gets no new flows
+	// from this balancer, unless the table says otherwise before.
+	AvoidFor time.Duration
+	// Zone is the balancer's own zone.
+	Zone string
+}
+
+// DefaultOptions returns the bounds of processes.
+func DefaultOptions() Options {
+	return Options{
+		SettleTime: 250 * time.Millisecond,
+		FreshFor:   1500 * time.Millisecond,
+		AvoidFor:   3 * time.Second,
+	}
+}
+
+// record is one target of the table.
+type record struct {
+	directory.TargetEntry
+	seed uint64
+	// usableAt is when the target may get new flows.
+	usableAt time.Time
+	// warmAt is when the target is no longer slow from its start.
+	warmAt time.Time
+	// avoidUntil is set when a probe found the target dead.
+	avoidUntil time.Time
+}
+
+// route is one route with its pool.
+type route struct {
+	parts []declared.PoolPart
+	total int
+}
+
+// Table is a balancer's copy of the directory. All methods may be called at
+// any time. Its revision never goes back.
+type Table struct {
+	options Options
+
+	lock        sync.RWMutex
+	revision    model.Revision
+	version     uint64
+	confirmedAt time.Time
+	routes      map[netip.AddrPort]route
+	targets     map[directory.Token]*record
+	// services has the targets that may take new flows, by service.
+	services map[string][]*record
+}
+
+// NewTable returns an empty table.
+func NewTable(options Options) *Table {
+	return &Table{
+		options:  options,
+		routes:   make(map[netip.AddrPort]route),
+		targets:  make(map[directory.Token]*record),
+		services: make(map[string][]*record),
+	}
+}
+
+// Revision returns the table's revision; zero means that it has none yet.
+func (table *Table) Revision() model.Revision {
+	table.lock.RLock()
+	defer table.lock.RUnlock()
+	return table.revision
+}
+
+// Version returns the declared version of the table.
+func (table *Table) Version() uint64 {
+	table.lock.RLock()
+	defer table.lock.RUnlock()
+	return table.version
+}
+
+// Serving tells whether the table has a declared configuration.
+func (table *Table) Serving() bool {
+	table.lock.RLock()
+	defer table.lock.RUnlock()
+	return table.version > 0
+}
+
+// Confirm records that a member with a confirmed quorum said at now that the
+// table is current.
+func (table *Table) Confirm(now time.Time) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	table.confirmedAt = now
+}
+
+// Fresh tells whether the table counts as current.
+func (table *Table) Fresh(now time.Time) bool {
+	table.lock.RLock()
+	defer table.lock.RUnlock()
+	return table.fresh(now)
+}
+
+func (table *Table) fresh(now time.Time) bool {
+	return !table.confirmedAt.IsZero() && now.Sub(table.confirmedAt) < table.options.FreshFor
+}
+
+// Apply takes changes in and returns whether the table is now at changes.To or
+// later. Changes that leave a gap, or that are older, change nothing.
+func (table *Table) Apply(changes directory.Changes, now time.Time) bool {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	if changes.To <= table.revision {
+		return changes.To == table.revision
+	}
+	if changes.From > table.revision {
+		return false
+	}
+	if changes.Whole {
+		table.replace(changes, now)
+	} else {
+		table.merge(changes, now)
+	}
+	table.revision = changes.To
+	table.version = changes.Version
+	table.rebuildServices()
+	return true
+}
+
+// replace takes a whole directory in. What this balancer learned of targets
+// that stay is kept.
+func (table *Table) replace(changes directory.Changes, now time.Time) {
+	former := table.targets
+	first := table.revision == 0
+	table.routes = make(map[netip.AddrPort]route, len(changes.Routes))
+	table.targets = make(map[directory.Token]*record, len(changes.Targets))
+	for token, known := range former {
+		if contains(changes.Targets, token) {
+			table.targets[token] = known
+		}
+	}
+	table.mergeRoutes(changes.Routes)
+	table.mergeTargets(changes.Targets, now, first)
+}
+
+func contains(targets []directory.TargetEntry, token directory.Token) bool {
+	for index := range targets {
+		if targets[index].Token == token {
+			return true
+		}
+	}
+	return false
+}
+
+func (table *Table) merge(changes directory.Changes, now time.Time) {
+	for _, address := range changes.Removed {
+		delete(table.routes, address)
+	}
+	for _, token := range changes.Forgotten {
+		delete(table.targets, token)
+	}
+	table.mergeRoutes(changes.Routes)
+	table.mergeTargets(changes.Targets, now, false)
+}
+
+func (table *Table) mergeRoutes(entries []directory.RouteEntry) {
+	for _, entry := range entries {
+		added := route{parts: entry.Pool}
+		for _, part := range entry.Pool {
+			added.total += part.Weight
+		}
+		table.routes[entry.Address] = added
+	}
+}
+
+// mergeTargets adds or changes targets. settled tells that the entries come
+// with the balancer's first table, so others know their tokens already.
+func (table *Table) mergeTargets(entries []directory.TargetEntry, now time.Time, settled bool) {
+	for _, entry := range entries {
+		known := table.targets[entry.Token]
+		if known == nil {
+			known = &record{seed: seedOf(entry.ID)}
+			if !settled {
+				known.usableAt = now.Add(table.options.SettleTime)
+				known.warmAt = now.Add(entry.Cold)
+			}
+			table.targets[entry.Token] = known
+		}
+		if known.State != entry.State {
+			known.avoidUntil = time.Time{}
+		}
+		known.TargetEntry = entry
+	}
+}
+
+func (table *Table) rebuildServices() {
+	services := make(map[string][]*record)
+	for _, target := range table.targets {
+		if target.State == directory.TargetReady {
+			services[target.Service] = append(services[target.Service], target)
+		}
+	}
+	table.services = services
+}
+
+// Lookup returns the target with the token.
+func (table *Table) Lookup(token directory.Token) (directory.TargetEntry, bool) {
+	table.lock.RLock()
+	defer table.lock.RUnlock()
+	target, known := table.targets[token]
+	if !known {
+		return directory.TargetEntry{}, false
+	}
+	return target.TargetEntry, true
+}
+
+// Avoid keeps new flows off a target that a probe found dead.
+func (table *Table) Avoid(token directory.Token, now time.Time) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	if target, known := table.targets[token]; known {
+		target.avoidUntil = now.Add(table.options.AvoidFor)
+	}
+}
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -78,6 +78,7 @@
 		storageDefinitions,
 		consensusDefinitions,
 		administrationDefinitions,
+		directDefinitions,
 		packetDefinitions,
 		requestDefinitions,
 		transportDefinitions,
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -163,6 +163,7 @@
 	if raft.role != Leader || progress == nil {
 		return
 	}
+	progress.heardAt = raft.now
 	switch message.Kind {
 	case MessageAppendReply:
 		raft.handleAppendReply(message, progress)
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -1,5 +1,7 @@
 package raft
 
+import "time"
+
 // progressState tells how the leader sends to a follower.
 type progressState uint8
 
@@ -36,6 +38,8 @@
 	snapshot          *Snapshot
 	snapshotOffset    uint64
 	snapshotRound     uint64
+	// heardAt is when the follower last answered.
+	heardAt time.Time
 }
 
 func (progress *Progress) becomeProbe() {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -152,6 +152,10 @@
 	readyApplied  uint64
 }
 
+// firstElectionDivisor is how much shorter the first wait for a leader is than
+// the election timeout, at the least.
+const firstElectionDivisor = 4
+
 // New returns the core of a member with restored state.
 func New(options Options, state State) *Raft {
 	raft := &Raft{
@@ -213,10 +217,19 @@
 		raft.now = now
 	}
 	if raft.electionDeadline.IsZero() {
-		raft.resetElectionDeadline()
+		raft.setFirstElectionDeadline()
 	}
 }
 
+// setFirstElectionDeadline makes the first wait after a start shorter than
+// later ones: after a loss of all members nobody leads, and where somebody
+// does, the pre-vote is refused and changes nothing.
+func (raft *Raft) setFirstElectionDeadline() {
+	least := raft.options.ElectionTimeout / firstElectionDivisor
+	spread := time.Duration(raft.random.Int64N(int64(raft.options.ElectionTimeout/2) + 1))
+	raft.electionDeadline = raft.now.Add(least + spread)
+}
+
 func (raft *Raft) resetElectionDeadline() {
 	spread := time.Duration(raft.random.Int64N(int64(raft.options.ElectionTimeout)))
 	raft.electionDeadline = raft.now.Add(raft.options.ElectionTimeout + spread)
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -103,6 +103,22 @@
 	Configuration Configuration
 	// SnapshotIndex is the index of the latest snapshot.
 	SnapshotIndex uint64
+	// LeaderHeardAt is when this member last heard from its leader; zero on
+	// the leader itself.
+	LeaderHeardAt time.Time
+	// LeaderSince is when this member became leader; zero on others.
+	LeaderSince time.Time
+	// Peers is what the leader knows of every member; nil on others.
+	Peers []Peer
+}
+
+// Peer is what the leader knows of one member of the configuration in force.
+type Peer struct {
+	Member
+	// HeardAt is when the member last answered this leader; zero means never.
+	HeardAt time.Time
+	// CaughtUp tells that the member holds every committed entry.
+	CaughtUp bool
 }
 
 // Status returns the state as of now.
@@ -120,7 +136,12 @@
 		Configuration: raft.committedConfiguration(),
 		SnapshotIndex: raft.snapshot.Index,
 	}
+	if raft.role != Leader && raft.leader != 0 {
+		status.LeaderHeardAt = raft.leaderHeardAt
+	}
 	if raft.role == Leader {
+		status.LeaderSince = raft.leaderSince
+		status.Peers = raft.peers()
 		status.Confirmed = !raft.confirmedAt.IsZero() && now.Sub(raft.confirmedAt) < raft.options.ElectionTimeout
 		if !raft.confirmedAt.IsZero() {
 			status.ConfirmedAt = raft.confirmedAt
@@ -129,6 +150,22 @@
 	return status
 }
 
+func (raft *Raft) peers() []Peer {
+	members := raft.configuration().Members
+	peers := make([]Peer, 0, len(members))
+	for _, member := range members {
+		peer := Peer{Member: member, CaughtUp: raft.caughtUp(member.ID)}
+		if progress := raft.progress[member.ID]; progress != nil {
+			peer.HeardAt = progress.heardAt
+		}
+		if member.ID == raft.options.ID {
+			peer.HeardAt = raft.now
+		}
+		peers = append(peers, peer)
+	}
+	return peers
+}
+
 // Term returns the present term.
 func (raft *Raft) Term() uint64 { return raft.term }
 
--- /dev/null
+++ b/internal/reconfigure/reconfigure.go
@@ -0,0 +1,289 @@
+// Package reconfigure keeps the control group at its wanted number of voters
+// without an operator: it takes in members with empty disks, replaces members
+// whose disks were lost, and drops silent members once another one can take
+// their place.
+//
+// Invariants:
+//   - one membership change at a time, and only by a confirmed leader;
+//   - a voter is removed only when the others that answer are a majority of
+//     the voters before and after the change;
+//   - a voter that is merely silent is removed only when a learner that has
+//     caught up can take its place at once.
+package reconfigure
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/raft"
+	"merlinpaddle/internal/replica"
+)
+
+// Group is the control group as the controller changes it; replica.Controller
+// implements it.
+type Group interface {
+	// StatusAt returns the member's status as of now.
+	StatusAt(now time.Time) replica.Status
+	// AddLearner proposes a new member without a vote.
+	AddLearner(name model.NodeName, done func(id replica.MemberID, err error))
+	// Promote proposes to make a learner a voter.
+	Promote(id replica.MemberID, done func(err error))
+	// RemoveMember proposes to take a member out.
+	RemoveMember(id replica.MemberID, done func(err error))
+}
+
+// Options are the bounds of membership.
+type Options struct {
+	// ToleratedLosses is the number of members that may be lost at once; the
+	// group wants twice as many voters and one more.
+	ToleratedLosses int
+	// SilentAfter is how long a voter may be silent before a learner takes its
+	// place.
+	SilentAfter time.Duration
+	// DropLearnerAfter is how long a learner may be silent before it is
+	// dropped. It returns by itself as a new learner.
+	DropLearnerAfter time.Duration
+}
+
+// DefaultOptions returns the bounds of processes for a number of losses.
+func DefaultOptions(toleratedLosses int) Options {
+	return Options{
+		ToleratedLosses:  toleratedLosses,
+		SilentAfter:      3 * time.Second,
+		DropLearnerAfter: 10 * time.Second,
+	}
+}
+
+const (
+	// recentFor is how recently a member must have answered to count as
+	// present.
+	recentFor = time.Second
+	// settleTime is how long a new leader waits before it changes anything, so
+	// that every member had time to answer it.
+	settleTime = 400 * time.Millisecond
+	// changeTimeout is how long a proposed change may take before the next one
+	// is tried.
+	changeTimeout = 2 * time.Second
+)
+
+// Controller proposes membership changes while its member leads.
+type Controller struct {
+	options Options
+	group   Group
+	logger  *zap.Logger
+	// pendingSince is when the change under way was proposed; zero without one.
+	pendingSince time.Time
+	settled      chan struct{}
+}
+
+// New returns the controller of one member.
+func New(options Options, group Group, logger *zap.Logger) *Controller {
+	return &Controller{options: options, group: group, logger: logger, settled: make(chan struct{}, 1)}
+}
+
+// Name implements board.Controller.
+func (controller *Controller) Name() string { return "reconfigure" }
+
+// Reconcile implements board.Controller.
+func (controller *Controller) Reconcile(now time.Time) {
+	status := controller.group.StatusAt(now)
+	if !status.Leading || now.Sub(status.LeaderSince) < settleTime {
+		controller.pendingSince = time.Time{}
+		return
+	}
+	if controller.pending(now) {
+		return
+	}
+	change := Plan(controller.options, status, now)
+	if change.Kind != ChangeNone {
+		controller.propose(now, change)
+	}
+}
+
+func (controller *Controller) pending(now time.Time) bool {
+	select {
+	case <-controller.settled:
+		controller.pendingSince = time.Time{}
+	default:
+	}
+	return !controller.pendingSince.IsZero() && now.Sub(controller.pendingSince) < changeTimeout
+}
+
+func (controller *Controller) propose(now time.Time, change Change) {
+	controller.pendingSince = now
+	fields := []zap.Field{
+		zap.Stringer("change", change.Kind),
+		zap.String("member", string(change.Name)),
+		zap.Uint64("id", uint64(change.ID)),
+		zap.String("cause", change.Cause),
+	}
+	controller.logger.Info("membership change proposed", fields...)
+	done := func(err error) {
+		controller.logger.Info("membership change ended", append(fields, zap.Error(err))...)
+		select {
+		case controller.settled <- struct{}{}:
+		default:
+		}
+	}
+	switch change.Kind {
+	case ChangeAdd:
+		controller.group.AddLearner(change.Name, func(_ replica.MemberID, err error) { done(err) })
+	case ChangePromote:
+		controller.group.Promote(change.ID, done)
+	case ChangeRemove:
+		controller.group.RemoveMember(change.ID, done)
+	}
+}
+
+// ChangeKind is the kind of a membership change.
+type ChangeKind uint8
+
+// The kinds of changes.
+const (
+	ChangeNone ChangeKind = iota
+	ChangeAdd
+	ChangePromote
+	ChangeRemove
+)
+
+// String returns the kind's name.
+func (kind ChangeKind) String() string {
+	return [...]string{"none", "add", "promote", "remove"}[kind]
+}
+
+// Change is one membership change and its cause in words.
+type Change struct {
+	Kind  ChangeKind
+	ID    replica.MemberID
+	Name  model.NodeName
+	Cause string
+}
+
+// Plan returns the next change that a leader with this status makes. It is a
+// pure function.
+func Plan(options Options, status replica.Status, now time.Time) Change {
+	plan := planner{options: options, status: status, now: now}
+	for _, step := range []func() Change{plan.replaceLostDisks, plan.dropSilentLearners, plan.promote, plan.replaceSilentVoter, plan.admit} {
+		if change := step(); change.Kind != ChangeNone {
+			return change
+		}
+	}
+	return Change{}
+}
+
+type planner struct {
+	options Options
+	status  replica.Status
+	now     time.Time
+}
+
+func (plan *planner) silence(peer raft.Peer) time.Duration {
+	heardAt := peer.HeardAt
+	if plan.status.LeaderSince.After(heardAt) {
+		heardAt = plan.status.LeaderSince
+	}
+	return plan.now.Sub(heardAt)
+}
+
+func (plan *planner) present(peer raft.Peer) bool {
+	return !peer.HeardAt.IsZero() && plan.now.Sub(peer.HeardAt) < recentFor
+}
+
+func (plan *planner) voters() (all, present int) {
+	for _, peer := range plan.status.Peers {
+		if peer.Learner {
+			continue
+		}
+		all++
+		if plan.present(peer) {
+			present++
+		}
+	}
+	return all, present
+}
+
+func (plan *planner) wantedVoters() int { return 2*plan.options.ToleratedLosses + 1 }
+
+// mayRemoveVoter tells whether the voters that answer are a majority with and
+// without one that does not.
+func (plan *planner) mayRemoveVoter() bool {
+	all, present := plan.voters()
+	return all > 1 && present > all/2 && present > (all-1)/2
+}
+
+// replaceLostDisks removes members whose machine asks for a place with another
+// disk: the disk that the member was tied to is gone for good.
+func (plan *planner) replaceLostDisks() Change {
+	for _, candidate := range plan.status.Candidates {
+		for _, peer := range plan.status.Peers {
+			if peer.Name != candidate.Name || peer.Disk == candidate.Disk || peer.Disk == 0 || peer.ID == plan.status.Self {
+				continue
+			}
+			if peer.Learner || plan.mayRemoveVoter() {
+				return Change{Kind: ChangeRemove, ID: peer.ID, Name: peer.Name, Cause: "its disk was lost"}
+			}
+		}
+	}
+	return Change{}
+}
+
+func (plan *planner) dropSilentLearners() Change {
+	for _, peer := range plan.status.Peers {
+		if peer.Learner && plan.silence(peer) > plan.options.DropLearnerAfter {
+			return Change{Kind: ChangeRemove, ID: peer.ID, Name: peer.Name, Cause: "the learner is silent"}
+		}
+	}
+	return Change{}
+}
+
+// standby returns a learner that can become a voter at once.
+func (plan *planner) standby() (raft.Peer, bool) {
+	for _, peer := range plan.status.Peers {
+		if peer.Learner && peer.CaughtUp && plan.present(peer) {
+			return peer, true
+		}
+	}
+	return raft.Peer{}, false
+}
+
+func (plan *planner) promote() Change {
+	all, _ := plan.voters()
+	learner, found := plan.standby()
+	if !found || all >= plan.wantedVoters() {
+		return Change{}
+	}
+	return Change{Kind: ChangePromote, ID: learner.ID, Name: learner.Name, Cause: "the group wants more voters"}
+}
+
+func (plan *planner) replaceSilentVoter() Change {
+	if _, found := plan.standby(); !found || !plan.mayRemoveVoter() {
+		return Change{}
+	}
+	for _, peer := range plan.status.Peers {
+		if !peer.Learner && peer.ID != plan.status.Self && plan.silence(peer) > plan.options.SilentAfter {
+			return Change{Kind: ChangeRemove, ID: peer.ID, Name: peer.Name, Cause: "the voter is silent and a learner is ready"}
+		}
+	}
+	return Change{}
+}
+
+// admit adds a learner for a candidate whose name no member has.
+func (plan *planner) admit() Change {
+	for _, candidate := range plan.status.Candidates {
+		if !plan.named(candidate.Name) {
+			return Change{Kind: ChangeAdd, Name: candidate.Name, Cause: "an empty disk asks for a place"}
+		}
+	}
+	return Change{}
+}
+
+func (plan *planner) named(name model.NodeName) bool {
+	for _, peer := range plan.status.Peers {
+		if peer.Name == name {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/replica/controller.go
+++ b/internal/replica/controller.go
@@ -39,6 +39,13 @@
 	reads     map[uint64]func(outcome)
 	lastRead  uint64
 	transfer  *pendingTransfer
+	// candidates are the empty disks that asked for a place, by name.
+	candidates map[model.NodeName]Candidate
+	// empty is the state machine's snapshot before it applied anything.
+	empty []byte
+	// nextPlaceCheck is when a member without a leader asks whether it still
+	// has its place.
+	nextPlaceCheck time.Time
 
 	stopped    atomic.Bool
 	done       chan struct{}
@@ -61,14 +68,19 @@
 		proposals: make(map[uint64]pendingProposal),
 		reads:     make(map[uint64]func(outcome)),
 		done:      make(chan struct{}),
+
+		candidates: make(map[model.NodeName]Candidate),
 	}
-	for _, example := range []any{FoundRequest{}, FoundReply{}, JoinRequest{}, JoinReply{}} {
+	for _, example := range []any{FoundRequest{}, FoundReply{}, JoinRequest{}, JoinReply{}, PlaceRequest{}, PlaceReply{}} {
 		controller.joining = append(controller.joining, dispatcher.Handle(example))
 	}
 	identity, found, err := checkIdentity(files, options.Self)
 	if err != nil {
 		return nil, err
 	}
+	if controller.empty, err = machine.Snapshot(); err != nil {
+		return nil, err
+	}
 	if !found {
 		identity = Identity{Version: identityVersion, Name: options.Self}
 	}
@@ -132,6 +144,10 @@
 	controller.takeMessages(now)
 	controller.core.Tick(now)
 	controller.answerJoiners(now)
+	if controller.core == nil {
+		return
+	}
+	controller.checkPlace(now)
 	controller.takeRequests(now)
 	controller.work()
 	for len(controller.backlog) > 0 && !controller.stopped.Load() {
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -49,11 +49,29 @@
 	Members []Member
 	// Log counts what this member wrote to its log since it started.
 	Log wal.Work
+	// LeaderHeardAt is when this member last heard from the leader that it
+	// follows; zero on the leader and without one.
+	LeaderHeardAt time.Time
+	// LeaderSince is when this member became leader; zero on others.
+	LeaderSince time.Time
+	// Peers is what a leader knows of every member; nil on others.
+	Peers []raft.Peer
+	// Candidates are empty disks that asked for a place lately.
+	Candidates []Candidate
 	// Refused tells that the group exists and has no place for this member's
 	// empty disk: it waits until a learner with its name is added.
 	Refused bool
 }
 
+// Candidate is a process with an empty disk that asks for a place.
+type Candidate struct {
+	Name model.NodeName
+	// Disk is the random number of the candidate's disk.
+	Disk uint64
+	// At is when it last asked.
+	At time.Time
+}
+
 // Group is the control group as the administration API, the claim broker and
 // the rollout publisher use it.
 type Group interface {
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +31,8 @@
 	nextAsk  time.Time
 	// refused tells that the group exists and has no place for this disk.
 	refused bool
+	// leader is the group's leader as a member told; it need not be listed.
+	leader model.NodeName
 }
 
 func newJoiner(options Options, mailbox *protocol.Mailbox, identity Identity) *joiner {
@@ -66,6 +69,9 @@
 		}
 		joiner.mailbox.Send(name, JoinRequest{Disk: joiner.identity.Disk})
 	}
+	if joiner.leader != "" && !slices.Contains(joiner.options.Members, joiner.leader) {
+		joiner.mailbox.Send(joiner.leader, JoinRequest{Disk: joiner.identity.Disk})
+	}
 }
 
 // answerFounder tells the founder this member's disk number.
@@ -115,6 +121,7 @@
 	}
 	joiner.founding = false
 	joiner.refused = !reply.Accepted
+	joiner.leader = reply.Leader
 	if !reply.Accepted {
 		return Identity{}, false
 	}
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -90,6 +90,13 @@
 				controller.answerJoiner(now, envelope.From, message.Disk)
 			case FoundRequest:
 				controller.answerJoiner(now, envelope.From, message.Founder)
+			case PlaceRequest:
+				controller.answerPlace(now, envelope.From, message)
+			case PlaceReply:
+				controller.takePlaceReply(now, message)
+			}
+			if controller.core == nil {
+				return
 			}
 		}
 	}
@@ -97,13 +104,16 @@
 
 func (controller *Controller) answerJoiner(now time.Time, from model.NodeName, disk uint64) {
 	configuration := controller.core.CommittedConfiguration()
-	reply := JoinReply{Disk: disk}
+	reply := JoinReply{
+		Disk:   disk,
+		Leader: controller.leaderName(),
+		Group:  controller.storage.identity.Group,
+	}
 	for _, member := range configuration.Members {
 		switch {
 		case member.Name != from:
 		case member.Disk == disk:
 			reply.Accepted = true
-			reply.Group = controller.storage.identity.Group
 			reply.Member = member.ID
 			reply.Configuration = configuration.Clone()
 		case member.Disk == 0 && controller.core.Role() == raft.Leader:
@@ -111,5 +121,8 @@
 			_, _, _ = controller.core.BindDisk(now, member.ID, disk)
 		}
 	}
+	if !reply.Accepted {
+		controller.candidates[from] = Candidate{Name: from, Disk: disk, At: now}
+	}
 	controller.mailbox.Send(from, reply)
 }
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/protocol"
 	"merlinpaddle/internal/raft"
 )
@@ -29,13 +30,33 @@
 type JoinReply struct {
 	Disk     uint64
 	Accepted bool
+	// Leader is the leader that the sender follows; empty when it knows none.
+	Leader model.NodeName
+	Group  uint64
 	// The fields below are set when the sender has a place.
-	Group         uint64
 	Member        raft.MemberID
 	Configuration raft.Configuration
 }
 
+// PlaceRequest asks the leader whether a formed member still has its place.
+type PlaceRequest struct {
+	Group  uint64
+	Member raft.MemberID
+	Disk   uint64
+}
+
+// PlaceReply answers a PlaceRequest. Only a leader answers, after a quorum
+// confirmed it and once it has applied everything that was committed before.
+type PlaceReply struct {
+	Group   uint64
+	Member  raft.MemberID
+	Disk    uint64
+	Removed bool
+}
+
 func init() {
+	protocol.Register(PlaceRequest{})
+	protocol.Register(PlaceReply{})
 	protocol.Register(FoundRequest{})
 	protocol.Register(FoundReply{})
 	protocol.Register(JoinRequest{})
--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -32,7 +32,7 @@
 
 // servedRoles lists, for each role, the roles that may connect to it.
 var servedRoles = map[model.Role][]model.Role{
-	model.RoleControl: {model.RoleControl, model.RoleRelay},
+	model.RoleControl: {model.RoleControl, model.RoleRelay, model.RoleBalancer},
 	model.RoleRelay:   {model.RoleBalancer, model.RoleAgent, model.RoleRelay},
 }
 
--- a/internal/transport/links.go
+++ b/internal/transport/links.go
@@ -148,6 +148,19 @@
 	}
 }
 
+// Hangup closes the connection to peer and makes it no more. Messages that
+// wait for it are dropped.
+func (links *Links) Hangup(peer model.NodeName) {
+	links.lock.Lock()
+	defer links.lock.Unlock()
+	link, exists := links.outgoing[peer]
+	if !exists {
+		return
+	}
+	delete(links.outgoing, peer)
+	link.stop()
+}
+
 // Connected tells whether a message to peer has a connection to go by.
 func (links *Links) Connected(peer model.NodeName) bool {
 	links.lock.Lock()
--- a/internal/transport/outgoing.go
+++ b/internal/transport/outgoing.go
@@ -23,15 +23,26 @@
 	peer      model.NodeName
 	queue     *sendQueue
 	connected atomic.Bool
+	// stopped is closed when the link is not wanted any more.
+	stopped  chan struct{}
+	stopOnce sync.Once
 
 	lock    sync.Mutex
 	address string
 }
 
 func newOutgoingLink(links *Links, peer model.NodeName, address string) *outgoingLink {
-	return &outgoingLink{links: links, peer: peer, address: address, queue: newSendQueue(links.options.Metrics.drop)}
+	return &outgoingLink{
+		links:   links,
+		peer:    peer,
+		address: address,
+		queue:   newSendQueue(links.options.Metrics.drop),
+		stopped: make(chan struct{}),
+	}
 }
 
+func (link *outgoingLink) stop() { link.stopOnce.Do(func() { close(link.stopped) }) }
+
 func (link *outgoingLink) setAddress(address string) {
 	link.lock.Lock()
 	defer link.lock.Unlock()
@@ -44,7 +55,16 @@
 	return link.address
 }
 
-func (link *outgoingLink) run(ctx context.Context) {
+func (link *outgoingLink) run(process context.Context) {
+	ctx, cancel := context.WithCancel(process)
+	defer cancel()
+	go func() {
+		select {
+		case <-link.stopped:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	timing := link.links.options.Timing
 	delay := timing.BackoffLeast
 	for ctx.Err() == nil {
