--- /dev/null
+++ b/internal/direct/balancernode/module.go
@@ -0,0 +1,140 @@
+// Package balancernode is the fx module of a balancer of direct services.
+//
+// It provides model.Role, *steer.Table, *feed.Subscriber, *forwarder.Suspects
+// and *forwarder.Forwarder, includes transport.Module, and needs a
+// forwarder.Codec besides what the process base provides.
+package balancernode
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"merlinpaddle/internal/board"
+	"merlinpaddle/internal/direct"
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/feed"
+	"merlinpaddle/internal/direct/forwarder"
+	"merlinpaddle/internal/direct/probe"
+	"merlinpaddle/internal/direct/steer"
+	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/process"
+	"merlinpaddle/internal/protocol"
+	"merlinpaddle/internal/settings"
+	"merlinpaddle/internal/transport"
+)
+
+const (
+	// subscribeInterval is how often the subscriber runs without a notice.
+	subscribeInterval = 40 * time.Millisecond
+	// suspectsInterval is how often suspicions are looked at without a notice.
+	suspectsInterval = time.Second
+	// readinessPart is the balancer's part of the process's readiness.
+	readinessPart = "table"
+)
+
+// Module runs a balancer.
+func Module() fx.Option {
+	return fx.Module("direct balancer",
+		fx.Supply(model.RoleBalancer),
+		transport.ModuleWith(transport.QuickTiming()),
+		fx.Provide(provideTable, provideSubscriber, provideSuspects, provideForwarder, newMetrics),
+		fx.Invoke(run),
+	)
+}
+
+func provideTable(chosen settings.Settings) *steer.Table {
+	options := steer.DefaultOptions()
+	options.Zone = chosen.Zone
+	return steer.NewTable(options)
+}
+
+// linkConnector makes connections to members by their names, which are their
+// addresses.
+type linkConnector struct {
+	links *transport.Links
+}
+
+// Connect implements feed.Connector.
+func (connector linkConnector) Connect(member model.NodeName) {
+	connector.links.Dial(direct.Peer(member))
+}
+
+// Disconnect implements feed.Connector.
+func (connector linkConnector) Disconnect(member model.NodeName) { connector.links.Hangup(member) }
+
+func provideSubscriber(chosen settings.Settings, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher,
+	table *steer.Table, links *transport.Links, readiness *process.Readiness, logger *zap.Logger) *feed.Subscriber {
+	logger = logger.Named("table")
+	onChange := func(changes directory.Changes, from model.NodeName) {
+		readiness.Set(readinessPart, table.Serving())
+		logger.Info("table changed",
+			zap.Uint64("revision", uint64(changes.To)),
+			zap.Uint64("version", changes.Version),
+			zap.Bool("whole", changes.Whole),
+			zap.Int("targets", len(changes.Targets)),
+			zap.Int("routes", len(changes.Routes)),
+			zap.Int("removed", len(changes.Removed)),
+			zap.String("member", string(from)))
+	}
+	return feed.NewSubscriber(mailbox, dispatcher, table, linkConnector{links: links}, direct.SeedMembers(chosen.Direct), onChange)
+}
+
+func provideSuspects(table *steer.Table, mailbox *protocol.Mailbox, subscriber *feed.Subscriber) *forwarder.Suspects {
+	return forwarder.NewSuspects(table, probe.New(probe.DialTCP), mailbox, subscriber.Following)
+}
+
+func provideForwarder(chosen settings.Settings, codec forwarder.Codec, table *steer.Table, suspects *forwarder.Suspects, metrics *metrics) (*forwarder.Forwarder, error) {
+	return forwarder.New(chosen.Direct.Packets, codec, table, suspects, metrics)
+}
+
+// parts are what run needs; fx fills it.
+type parts struct {
+	fx.In
+
+	Lifecycle  fx.Lifecycle
+	Settings   settings.Settings
+	Tasks      *process.Tasks
+	Readiness  *process.Readiness
+	Registry   *prometheus.Registry
+	Metrics    *metrics
+	Subscriber *feed.Subscriber
+	Suspects   *forwarder.Suspects
+	Forwarder  *forwarder.Forwarder
+}
+
+func run(parts parts) {
+	parts.Readiness.Set(readinessPart, false)
+	parts.Registry.MustRegister(parts.Metrics)
+	runners := []*board.Runner{
+		board.NewRunner(parts.Subscriber, subscribeInterval, parts.Subscriber.Sources()...),
+		board.NewRunner(parts.Suspects, suspectsInterval, parts.Suspects.Sources()...),
+	}
+	parts.Lifecycle.Append(fx.StartStopHook(
+		func() {
+			parts.Tasks.Go("forwarder", parts.Forwarder.Run)
+			for _, runner := range runners {
+				parts.Tasks.Go("controller", func(ctx context.Context) error {
+					runner.Run(ctx)
+					return nil
+				})
+			}
+		},
+		func(ctx context.Context) { leave(ctx, parts.Readiness, parts.Settings.Direct.StopGrace) },
+	))
+}
+
+// leave stops being ready and keeps forwarding for grace, so that the routers
+// send elsewhere before the socket closes.
+func leave(ctx context.Context, readiness *process.Readiness, grace time.Duration) {
+	readiness.Set("running", false)
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/direct/feed/subscriber.go
+++ b/internal/direct/feed/subscriber.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,6 +47,8 @@
 	// following is the member whose updates are awaited; empty while all
 	// known members are asked.
 	following model.NodeName
+	// shown is following for other goroutines.
+	shown     atomic.Value
 	connected map[model.NodeName]bool
 	freshAt   time.Time
 	askedAt   time.Time
@@ -86,7 +89,11 @@
 }
 
 // Following returns the member that is followed, or the empty name.
-func (subscriber *Subscriber) Following() model.NodeName { return subscriber.following }
+// It may be called from any goroutine.
+func (subscriber *Subscriber) Following() model.NodeName {
+	name, _ := subscriber.shown.Load().(model.NodeName)
+	return name
+}
 
 // Reconcile implements board.Controller.
 func (subscriber *Subscriber) Reconcile(now time.Time) {
@@ -100,6 +107,7 @@
 	if now.Sub(subscriber.freshAt) > silenceLimit {
 		subscriber.following = ""
 	}
+	subscriber.shown.Store(subscriber.following)
 	if subscriber.following == "" {
 		subscriber.search(now)
 		return
--- /dev/null
+++ b/internal/direct/forwarder/forwarder.go
@@ -0,0 +1,123 @@
+// Package forwarder carries the packets of direct services: it reads them from
+// callers, asks the table what to do, and sends them to targets or resets back.
+// It keeps no state of flows.
+//
+// The form of packets is a Codec's; the forwarder knows none.
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"merlinpaddle/internal/direct/steer"
+	"merlinpaddle/internal/faults"
+)
+
+// Codec reads and writes the packets of callers and targets.
+type Codec interface {
+	// Headroom is the number of bytes that Deliver puts before a packet.
+	Headroom() int
+	// Parse returns what a decision needs of packet.
+	Parse(packet []byte) (steer.Segment, error)
+	// Deliver turns buffer, whose packet begins after Headroom bytes, into the
+	// datagram for the decision's target, in place.
+	Deliver(buffer []byte, decision steer.Decision) []byte
+	// Reset returns a packet that tells the sender of packet that its flow is
+	// over, and where to send it.
+	Reset(packet []byte, segment steer.Segment) ([]byte, netip.AddrPort)
+}
+
+const (
+	// maximumDatagram is the largest datagram that is read, in bytes.
+	maximumDatagram = 2048
+	// socketBufferBytes is the size asked for the socket's buffers.
+	socketBufferBytes = 1 << 20
+)
+
+// Observer is told of decisions; its methods must return at once.
+type Observer interface {
+	// Decided is told of every decision.
+	Decided(segment steer.Segment, decision steer.Decision)
+	// Malformed is told of a packet that could not be read.
+	Malformed(err error)
+}
+
+// Forwarder is the packet path of one balancer.
+type Forwarder struct {
+	socket   *net.UDPConn
+	codec    Codec
+	table    *steer.Table
+	suspects *Suspects
+	observer Observer
+}
+
+// New opens the socket at address.
+func New(address string, codec Codec, table *steer.Table, suspects *Suspects, observer Observer) (*Forwarder, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, faults.New(faults.PacketSocket, "direct.packets: %v", err)
+	}
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(parsed))
+	if err != nil {
+		return nil, faults.New(faults.PacketSocket, "direct.packets: listen on %s: %v", address, err)
+	}
+	// A smaller buffer than asked for loses packets earlier; nothing else.
+	_ = socket.SetReadBuffer(socketBufferBytes)
+	_ = socket.SetWriteBuffer(socketBufferBytes)
+	return &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, observer: observer}, nil
+}
+
+// Address returns the socket's address.
+func (forwarder *Forwarder) Address() netip.AddrPort {
+	return forwarder.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Run carries packets until ctx ends.
+func (forwarder *Forwarder) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = forwarder.socket.Close() })
+	defer stop()
+	headroom := forwarder.codec.Headroom()
+	buffer := make([]byte, headroom+maximumDatagram)
+	for {
+		size, _, err := forwarder.socket.ReadFromUDPAddrPort(buffer[headroom:])
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return err
+		case err != nil:
+			continue
+		}
+		forwarder.carry(buffer[:headroom+size], headroom, time.Now())
+	}
+}
+
+// carry handles one packet, which begins after headroom bytes.
+func (forwarder *Forwarder) carry(buffer []byte, headroom int, now time.Time) {
+	packet := buffer[headroom:]
+	segment, err := forwarder.codec.Parse(packet)
+	if err != nil {
+		forwarder.observer.Malformed(err)
+		return
+	}
+	decision := forwarder.table.Decide(segment, now)
+	forwarder.observer.Decided(segment, decision)
+	if decision.Suspect != 0 {
+		forwarder.suspects.Note(decision.Suspect)
+	}
+	switch decision.Action {
+	case steer.Forward:
+		forwarder.send(forwarder.codec.Deliver(buffer, decision), decision.Target)
+	case steer.Reset:
+		reset, to := forwarder.codec.Reset(packet, segment)
+		forwarder.send(reset, to)
+	}
+}
+
+// send writes one datagram. A lost one is sent again by its sender.
+func (forwarder *Forwarder) send(datagram []byte, to netip.AddrPort) {
+	_, _ = forwarder.socket.WriteToUDPAddrPort(datagram, to)
+}
--- /dev/null
+++ b/internal/direct/forwarder/suspects.go
@@ -0,0 +1,99 @@
+package forwarder
+
+import (
+	"time"
+
+	"merlinpaddle/internal/board"
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/feed"
+	"merlinpaddle/internal/direct/probe"
+	"merlinpaddle/internal/direct/steer"
+	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/protocol"
+)
+
+const (
+	// suspectsKept bounds the suspicions that wait to be looked into.
+	suspectsKept = 256
+	// probePause is the least time between two probes of one target by this
+	// balancer.
+	probePause = 500 * time.Millisecond
+	// probedKept bounds the targets whose last probe is remembered.
+	probedKept = 4096
+)
+
+// Suspects is the controller that probes targets which did not answer an
+// opening packet in time, keeps new flows off those that are dead, and reports
+// them to the followed member. Silence alone proves nothing: a target that is
+// full is silent too.
+type Suspects struct {
+	notes   *board.Queue[directory.Token]
+	table   *steer.Table
+	prober  *probe.Prober
+	mailbox *protocol.Mailbox
+	follows func() model.NodeName
+	probed  map[directory.Token]time.Time
+}
+
+// NewSuspects returns the controller. follows returns the member that gets
+// the reports.
+func NewSuspects(table *steer.Table, prober *probe.Prober, mailbox *protocol.Mailbox, follows func() model.NodeName) *Suspects {
+	return &Suspects{
+		notes:   board.NewQueue[directory.Token]("suspects", suspectsKept),
+		table:   table,
+		prober:  prober,
+		mailbox: mailbox,
+		follows: follows,
+		probed:  make(map[directory.Token]time.Time),
+	}
+}
+
+// Note records that a target did not answer in time. It may be called from
+// any goroutine.
+func (suspects *Suspects) Note(token directory.Token) { suspects.notes.Put(token) }
+
+// Name implements board.Controller.
+func (suspects *Suspects) Name() string { return "suspects" }
+
+// Sources returns the channels whose notices call for a Reconcile.
+func (suspects *Suspects) Sources() []<-chan struct{} {
+	return []<-chan struct{}{suspects.notes.Watch(), suspects.prober.Results.Watch()}
+}
+
+// Reconcile implements board.Controller.
+func (suspects *Suspects) Reconcile(now time.Time) {
+	for _, token := range suspects.notes.Drain() {
+		suspects.probe(now, token)
+	}
+	for _, result := range suspects.prober.Results.Drain() {
+		suspects.take(now, result)
+	}
+}
+
+func (suspects *Suspects) probe(now time.Time, token directory.Token) {
+	target, known := suspects.table.Lookup(token)
+	if !known || target.State == directory.TargetFailed || now.Sub(suspects.probed[token]) < probePause {
+		return
+	}
+	if len(suspects.probed) >= probedKept {
+		clear(suspects.probed)
+	}
+	suspects.probed[token] = now
+	suspects.prober.Start(uint64(token), target.Address)
+}
+
+func (suspects *Suspects) take(now time.Time, result probe.Result) {
+	token := directory.Token(result.Key)
+	target, known := suspects.table.Lookup(token)
+	if !known || result.Outcome == probe.Answered {
+		return
+	}
+	suspects.table.Avoid(token, now)
+	verdict := feed.VerdictSilent
+	if result.Outcome == probe.Refused {
+		verdict = feed.VerdictRefused
+	}
+	if member := suspects.follows(); member != "" {
+		suspects.mailbox.Send(member, feed.HealthReport{ID: target.ID, Verdict: verdict, Balancer: suspects.mailbox.Self})
+	}
+}
--- /dev/null
+++ b/internal/direct/member/module.go
@@ -0,0 +1,200 @@
+// Package member is the fx module of a member of the control group of direct
+// services.
+//
+// It provides model.Role, *directory.Directory, *replica.Controller,
+// *replica.Node and *registrar.Registrar, includes transport.Module, and needs
+// what the process base provides.
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"merlinpaddle/internal/board"
+	"merlinpaddle/internal/direct"
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/feed"
+	"merlinpaddle/internal/direct/probe"
+	"merlinpaddle/internal/direct/registrar"
+	"merlinpaddle/internal/filesystem"
+	"merlinpaddle/internal/filesystem/disk"
+	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/process"
+	"merlinpaddle/internal/protocol"
+	"merlinpaddle/internal/reconfigure"
+	"merlinpaddle/internal/replica"
+	"merlinpaddle/internal/settings"
+	"merlinpaddle/internal/transport"
+)
+
+const (
+	// healthInterval is how often targets are looked at.
+	healthInterval = 100 * time.Millisecond
+	// publishInterval is how often the feed runs without a notice.
+	publishInterval = 50 * time.Millisecond
+	// proposerInterval is how often the proposer runs without a notice.
+	proposerInterval = time.Second
+	// reconfigureInterval is how often the membership is looked at.
+	reconfigureInterval = 100 * time.Millisecond
+	// connectInterval is how often connections follow the membership.
+	connectInterval = 100 * time.Millisecond
+	// forgetMargin is how much longer a token is kept than the longest flow.
+	forgetMargin = 15 * time.Second
+	// probePause is the least time between two probes of one target.
+	probePause = 700 * time.Millisecond
+	// transferTimeout bounds the hand-over of leadership at a planned stop.
+	transferTimeout = 800 * time.Millisecond
+	// segmentBytes is the size of a log segment.
+	segmentBytes = 1 << 20
+	// readinessPart is the member's part of the process's readiness.
+	readinessPart = "member"
+)
+
+// Module runs a member.
+func Module() fx.Option {
+	return fx.Module("direct member",
+		fx.Supply(model.RoleControl),
+		transport.ModuleWith(transport.QuickTiming()),
+		fx.Provide(
+			directory.New,
+			provideFiles,
+			provideReplica,
+			replica.NewNode,
+			registrar.NewRenewed,
+			provideProposer,
+			provideRegistrar,
+			provideHealth,
+			providePublisher,
+			provideReconfigure,
+		),
+		fx.Invoke(run),
+	)
+}
+
+func provideFiles(lifecycle fx.Lifecycle, chosen settings.Settings) (filesystem.FileSystem, error) {
+	folder, err := disk.Open(chosen.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	lifecycle.Append(fx.StopHook(folder.Close))
+	return folder, nil
+}
+
+func provideReplica(chosen settings.Settings, files filesystem.FileSystem, mailbox *protocol.Mailbox,
+	dispatcher *protocol.Dispatcher, state *directory.Directory) (*replica.Controller, error) {
+	self := model.NodeName(chosen.Node)
+	seeds := direct.SeedMembers(chosen.Direct)
+	return replica.NewController(replica.Options{
+		Self:              self,
+		Members:           seeds,
+		Join:              !chosen.Direct.Bootstrap || !slices.Contains(seeds, self),
+		ElectionTimeout:   chosen.Direct.ElectionTimeout,
+		HeartbeatInterval: chosen.Direct.HeartbeatInterval,
+		SnapshotEvery:     chosen.Direct.SnapshotEvery,
+		SegmentBytes:      segmentBytes,
+		Seed:              rand.Uint64(),
+	}, files, mailbox, dispatcher, state)
+}
+
+func provideProposer(mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, group *replica.Controller, state *directory.Directory) *registrar.Proposer {
+	return registrar.NewProposer(mailbox, dispatcher, group, state, rand.Uint64())
+}
+
+func provideRegistrar(state *directory.Directory, proposer *registrar.Proposer, group *replica.Controller, renewed *registrar.Renewed) *registrar.Registrar {
+	return registrar.NewRegistrar(state, proposer, group, renewed)
+}
+
+func provideHealth(chosen settings.Settings, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher,
+	group *replica.Controller, state *directory.Directory, renewed *registrar.Renewed) *registrar.Health {
+	options := registrar.HealthOptions{
+		SilentAfter: chosen.Direct.SilentAfter,
+		ProbePause:  probePause,
+		ForgetAfter: chosen.Direct.FlowLife + forgetMargin,
+	}
+	return registrar.NewHealth(options, mailbox, dispatcher, group, state, renewed, probe.New(probe.DialTCP))
+}
+
+func providePublisher(mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, state *directory.Directory, group *replica.Controller) *feed.Publisher {
+	return feed.NewPublisher(mailbox, dispatcher, state, memberSource{group: group})
+}
+
+func provideReconfigure(chosen settings.Settings, group *replica.Controller, logger *zap.Logger) *reconfigure.Controller {
+	return reconfigure.New(reconfigure.DefaultOptions(chosen.Direct.ToleratedLosses), group, logger.Named("membership"))
+}
+
+// memberSource shows the member to its publisher.
+type memberSource struct {
+	group *replica.Controller
+}
+
+// Fresh implements feed.Source.
+func (source memberSource) Fresh(now time.Time) bool { return registrar.Fresh(source.group, now) }
+
+// Members implements feed.Source.
+func (source memberSource) Members() []model.NodeName {
+	var names []model.NodeName
+	for _, member := range source.group.StatusAt(time.Now()).Members {
+		names = append(names, member.Name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// parts are what run needs; fx fills it.
+type parts struct {
+	fx.In
+
+	Lifecycle   fx.Lifecycle
+	Settings    settings.Settings
+	Tasks       *process.Tasks
+	Logger      *zap.Logger
+	Readiness   *process.Readiness
+	Links       *transport.Links
+	Node        *replica.Node
+	Group       *replica.Controller
+	Directory   *directory.Directory
+	Proposer    *registrar.Proposer
+	Health      *registrar.Health
+	Publisher   *feed.Publisher
+	Reconfigure *reconfigure.Controller
+}
+
+func run(parts parts) {
+	runners := []*board.Runner{
+		board.NewRunner(parts.Proposer, proposerInterval, parts.Proposer.Sources()...),
+		board.NewRunner(parts.Health, healthInterval, parts.Health.Sources()...),
+		board.NewRunner(parts.Publisher, publishInterval, append(parts.Publisher.Sources(), parts.Node.Watch())...),
+		board.NewRunner(parts.Reconfigure, reconfigureInterval),
+		board.NewRunner(newConnections(parts), connectInterval),
+	}
+	parts.Lifecycle.Append(fx.StartStopHook(
+		func() {
+			parts.Tasks.Go("consensus", parts.Node.Run)
+			for _, runner := range runners {
+				parts.Tasks.Go("controller", func(ctx context.Context) error {
+					runner.Run(ctx)
+					return nil
+				})
+			}
+		},
+		func(ctx context.Context) { handOver(ctx, parts.Node, parts.Logger) },
+	))
+}
+
+// handOver gives leadership to another member before a planned stop.
+func handOver(ctx context.Context, node *replica.Node, logger *zap.Logger) {
+	status := node.Status()
+	if !status.Leading || len(status.Members) < 2 {
+		return
+	}
+	transferContext, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	if err := node.TransferLeadership(transferContext); err != nil {
+		logger.Warn("leadership was not handed over", zap.Error(err))
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,43 @@
 	Backend  Backend  `koanf:"backend"`
 	Caller   Caller   `koanf:"caller"`
 	Platform Platform `koanf:"platform"`
+	Direct   Direct   `koanf:"direct"`
+}
+
+// Direct is the section of the roles that serve direct services: a member of
+// their control group and a balancer in front of targets without an agent.
+type Direct struct {
+	// Seeds are the control addresses of members to start from.
+	Seeds []string `koanf:"seeds" validate:"dive,hostport"`
+	// MemberPort, when it is not zero, replaces the ports of the seeds.
+	MemberPort int `koanf:"member_port" validate:"min=0,max=65535"`
+	// Bootstrap tells that the seeds found a new group with empty disks.
+	Bootstrap bool `koanf:"bootstrap"`
+	// API is the address on which a member serves targets and operators.
+	API string `koanf:"api" validate:"omitempty,hostport"`
+	// Packets is the UDP address on which a balancer gets callers' packets.
+	Packets string `koanf:"packets" validate:"omitempty,hostport"`
+	// ToleratedLosses is the number of members that may be lost at once; the
+	// group keeps twice as many voters and one more.
+	ToleratedLosses int `koanf:"tolerated_losses" validate:"min=0,max=4"`
+	// ElectionTimeout is the shortest time without a leader before an
+	// election.
+	ElectionTimeout time.Duration `koanf:"election_timeout" validate:"min=50000000"`
+	// HeartbeatInterval is the time between a leader's heartbeats.
+	HeartbeatInterval time.Duration `koanf:"heartbeat_interval" validate:"min=10000000"`
+	// SnapshotEvery is the number of log entries between snapshots.
+	SnapshotEvery int `koanf:"snapshot_every" validate:"min=1"`
+	// SilentAfter is how long a target may send no renewal before it is
+	// probed.
+	SilentAfter time.Duration `koanf:"silent_after" validate:"min=500000000"`
+	// FlowLife is the longest life of a flow; the token of a target that is
+	// gone is kept as long.
+	FlowLife time.Duration `koanf:"flow_life" validate:"min=1000000000"`
+	// AnswerWithin bounds the time in which a member answers a call.
+	AnswerWithin time.Duration `koanf:"answer_within" validate:"min=10000000"`
+	// StopGrace is how long a balancer that stops as planned keeps forwarding,
+	// so that the routers can learn that it leaves.
+	StopGrace time.Duration `koanf:"stop_grace" validate:"min=0,max=300000000000"`
 }
 
 // Peer is the name and control address of another process.
@@ -254,5 +291,15 @@
 			UploadBytes:        64 << 10,
 			RequestTimeout:     5 * time.Second,
 		},
+		Direct: Direct{
+			ToleratedLosses:   1,
+			ElectionTimeout:   400 * time.Millisecond,
+			HeartbeatInterval: 80 * time.Millisecond,
+			SnapshotEvery:     400,
+			SilentAfter:       5 * time.Second,
+			FlowLife:          time.Minute,
+			AnswerWithin:      850 * time.Millisecond,
+			StopGrace:         2500 * time.Millisecond,
+		},
 	}
 }
--- a/internal/transport/links.go
+++ b/internal/transport/links.go
@@ -42,6 +42,19 @@
 	}
 }
 
+// QuickTiming returns the time limits of processes whose group must notice a
+// cut and its end within a second.
+func QuickTiming() Timing {
+	return Timing{
+		ConnectTimeout: 400 * time.Millisecond,
+		Keepalive:      250 * time.Millisecond,
+		ReadTimeout:    900 * time.Millisecond,
+		WriteTimeout:   900 * time.Millisecond,
+		BackoffLeast:   20 * time.Millisecond,
+		BackoffMost:    150 * time.Millisecond,
+	}
+}
+
 // Options are what Links need.
 type Options struct {
 	Self model.NodeName
--- a/internal/transport/module.go
+++ b/internal/transport/module.go
@@ -20,8 +20,12 @@
 const dispatchInterval = time.Second
 
 // Module provides the mailbox, the dispatcher and the links of a process.
-func Module() fx.Option {
+func Module() fx.Option { return ModuleWith(DefaultTiming()) }
+
+// ModuleWith is Module with other time limits.
+func ModuleWith(timing Timing) fx.Option {
 	return fx.Module("transport",
+		fx.Supply(timing),
 		fx.Provide(provideMailbox, protocol.NewDispatcher, provideLinks),
 		fx.Invoke(run),
 	)
@@ -31,14 +35,15 @@
 	return protocol.NewMailbox(model.NodeName(chosen.Node))
 }
 
-func provideLinks(chosen settings.Settings, role model.Role, mailbox *protocol.Mailbox, registry *prometheus.Registry, logger *zap.Logger) (*Links, error) {
+func provideLinks(chosen settings.Settings, role model.Role, mailbox *protocol.Mailbox, registry *prometheus.Registry,
+	logger *zap.Logger, timing Timing) (*Links, error) {
 	options := Options{
 		Self:    model.NodeName(chosen.Node),
 		Role:    role,
 		Mailbox: mailbox,
 		Metrics: NewMetrics(registry),
 		Logger:  logger.Named("links"),
-		Timing:  DefaultTiming(),
+		Timing:  timing,
 	}
 	if role == model.RoleControl || role == model.RoleRelay {
 		options.Listen = chosen.Listen
