Reload settings, write bounded lines to standard output, live through a full disk

Change: settings are read again on SIGHUP and on a changed file; logstream; a member whose disk is full gives up its memory and starts again from its disk. Checks: TestStorageFailureStopsTheMember no longer has the case of a full disk; TestFullDiskSuspendsTheMember replaces it and demands as much until the disk has room, and more after. TestRunReturnsTheStorageFailure now fails a sync.

--- a/internal/command/role.go
+++ b/internal/command/role.go
@@ -21,10 +21,12 @@
 	command.Flags().StringArrayVar(&flags.overrides, "set", nil, "override one setting, as section.key=value; may be repeated")
 }
 
-func (flags *settingsFlags) load() (settings.Settings, error) {
-	return settings.Load(flags.path, flags.overrides)
+func (flags *settingsFlags) file() settings.File {
+	return settings.File{Path: flags.path, Overrides: flags.overrides}
 }
 
+func (flags *settingsFlags) load() (settings.Settings, error) { return flags.file().Load() }
+
 // newRoleCommand returns the command that runs role until it is stopped.
 func newRoleCommand(role, short string, parts ...fx.Option) *cobra.Command {
 	flags := &settingsFlags{}
@@ -33,12 +35,8 @@
 		Short: short,
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			chosen, err := flags.load()
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(command.ErrOrStderr(), "merlinpaddle %s %s: starting\n", role, chosen.Node)
-			return process.Run(role, chosen, parts...)
+			fmt.Fprintf(command.ErrOrStderr(), "merlinpaddle %s: starting with %s\n", role, flags.path)
+			return process.Run(role, flags.file(), parts...)
 		},
 	}
 	flags.register(command)
--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -104,11 +104,15 @@
 	Subscriber *feed.Subscriber
 	Suspects   *forwarder.Suspects
 	Forwarder  *forwarder.Forwarder
+	Reloads    *process.Reloads
 }
 
 func run(parts parts) {
 	parts.Readiness.Set(readinessPart, false)
 	parts.Registry.MustRegister(parts.Metrics)
+	parts.Reloads.OnChange(func(changed settings.Settings) {
+		parts.Subscriber.SetSeeds(direct.SeedMembers(changed.Direct))
+	})
 	runners := []*board.Runner{
 		board.NewRunner(parts.Subscriber, subscribeInterval, parts.Subscriber.Sources()...),
 		board.NewRunner(parts.Suspects, suspectsInterval, parts.Suspects.Sources()...),
--- a/internal/direct/feed/subscriber.go
+++ b/internal/direct/feed/subscriber.go
@@ -49,6 +49,7 @@
 	following model.NodeName
 	// shown is following for other goroutines.
 	shown     atomic.Value
+	newSeeds  atomic.Pointer[[]model.NodeName]
 	connected map[model.NodeName]bool
 	freshAt   time.Time
 	askedAt   time.Time
@@ -81,11 +82,18 @@
 	return []<-chan struct{}{subscriber.updates.Watch()}
 }
 
-// SetSeeds replaces the members of the settings. Call it from the goroutine
-// that runs Reconcile.
+// SetSeeds replaces the members of the settings. It may be called from any
+// goroutine.
 func (subscriber *Subscriber) SetSeeds(seeds []model.NodeName) {
-	subscriber.seeds = slices.Clone(seeds)
-	subscriber.known = merged(subscriber.known, seeds)
+	replaced := slices.Clone(seeds)
+	subscriber.newSeeds.Store(&replaced)
+}
+
+func (subscriber *Subscriber) takeSeeds() {
+	if replaced := subscriber.newSeeds.Swap(nil); replaced != nil {
+		subscriber.seeds = *replaced
+		subscriber.known = merged(subscriber.known, *replaced)
+	}
 }
 
 // Following returns the member that is followed, or the empty name.
@@ -100,6 +108,7 @@
 	if subscriber.freshAt.IsZero() {
 		subscriber.freshAt = now
 	}
+	subscriber.takeSeeds()
 	for _, envelope := range subscriber.updates.Drain() {
 		update, _ := envelope.Message.(Update)
 		subscriber.take(now, envelope.From, update)
--- a/internal/direct/member/connections.go
+++ b/internal/direct/member/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,7 +18,7 @@
 // seed, and says when the member's view of the group changes.
 type connections struct {
 	self      model.NodeName
-	seeds     []model.NodeName
+	seeds     atomic.Pointer[[]model.NodeName]
 	group     *replica.Controller
 	links     *transport.Links
 	readiness *process.Readiness
@@ -30,17 +31,22 @@
 }
 
 func newConnections(parts parts) *connections {
-	return &connections{
+	created := &connections{
 		self:      model.NodeName(parts.Settings.Node),
-		seeds:     direct.SeedMembers(parts.Settings.Direct),
 		group:     parts.Group,
 		links:     parts.Links,
 		readiness: parts.Readiness,
 		logger:    parts.Logger.Named("group"),
 		dialled:   make(map[model.NodeName]bool),
 	}
+	created.setSeeds(direct.SeedMembers(parts.Settings.Direct))
+	return created
 }
 
+// setSeeds replaces the members of the settings; it may be called from any
+// goroutine.
+func (connections *connections) setSeeds(seeds []model.NodeName) { connections.seeds.Store(&seeds) }
+
 // Name implements board.Controller.
 func (connections *connections) Name() string { return "member connections" }
 
@@ -66,7 +72,7 @@
 
 // wanted returns the other nodes to be connected to.
 func (connections *connections) wanted(status replica.Status) []model.NodeName {
-	names := slices.Clone(connections.seeds)
+	names := slices.Clone(*connections.seeds.Load())
 	for _, member := range status.Members {
 		names = append(names, member.Name)
 	}
--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -162,15 +162,22 @@
 	Health      *registrar.Health
 	Publisher   *feed.Publisher
 	Reconfigure *reconfigure.Controller
+	Reloads     *process.Reloads
 }
 
 func run(parts parts) {
+	connections := newConnections(parts)
+	parts.Reloads.OnChange(func(changed settings.Settings) {
+		seeds := direct.SeedMembers(changed.Direct)
+		connections.setSeeds(seeds)
+		parts.Group.SetContacts(seeds)
+	})
 	runners := []*board.Runner{
 		board.NewRunner(parts.Proposer, proposerInterval, parts.Proposer.Sources()...),
 		board.NewRunner(parts.Health, healthInterval, parts.Health.Sources()...),
 		board.NewRunner(parts.Publisher, publishInterval, append(parts.Publisher.Sources(), parts.Node.Watch())...),
 		board.NewRunner(parts.Reconfigure, reconfigureInterval),
-		board.NewRunner(newConnections(parts), connectInterval),
+		board.NewRunner(connections, connectInterval),
 	}
 	parts.Lifecycle.Append(fx.StartStopHook(
 		func() {
--- a/internal/faults/codes_storage.go
+++ b/internal/faults/codes_storage.go
@@ -35,7 +35,7 @@
 	{Code: StorageForeign, Name: "StorageForeign", Meaning: "The folder's log belongs to another group or member. Nothing was changed.", Action: "Correct data_folder or node in the settings file, or put the right disk back."},
 	{Code: StorageLocked, Name: "StorageLocked", Meaning: "Another process uses the data folder.", Action: "Stop the other process or name another data_folder."},
 	{Code: StorageStopped, Name: "StorageStopped", Meaning: "The log stopped after a failed write or sync and takes nothing more.", Action: "Look at the first failure in the ring file, mend the disk and restart the process."},
-	{Code: StorageFull, Name: "StorageFull", Meaning: "The disk is full; the member stopped.", Action: "Free space under data_folder and restart the process."},
+	{Code: StorageFull, Name: "StorageFull", Meaning: "The disk is full; the member takes no part until there is room.", Action: "Free space under data_folder; the member then goes on by itself."},
 	{Code: StorageWriteFailed, Name: "StorageWriteFailed", Meaning: "A write or sync failed; the member stopped, because what reached the disk is unknown.", Action: "Check the disk and restart the process; if it fails again, replace the member."},
 	{Code: StorageSnapshotDamaged, Name: "StorageSnapshotDamaged", Meaning: "The newest snapshot is damaged and the log does not reach back to an older one.", Action: replaceMember},
 	{Code: StorageVersion, Name: "StorageVersion", Meaning: "The files were written by a format version that this program does not know.", Action: "Run the version of the program that wrote the folder."},
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -23,6 +23,7 @@
 
 	"merlinpaddle/internal/faults"
 	"merlinpaddle/internal/logring"
+	"merlinpaddle/internal/logstream"
 	"merlinpaddle/internal/settings"
 )
 
@@ -38,25 +39,74 @@
 	// stopTimeout bounds a planned stop. It is long because an agent lets
 	// uploads and feeds run to their end.
 	stopTimeout = 15 * time.Minute
+	// lastLinesTimeout bounds the wait for a standard output that blocks.
+	lastLinesTimeout = 200 * time.Millisecond
 )
 
-// Run runs the parts of one role until SIGTERM, SIGINT or a fault, and
-// returns the fault if there was one.
-func Run(role string, chosen settings.Settings, parts ...fx.Option) error {
-	ring := logring.New(logring.DefaultCapacity)
+// Run runs the parts of one role with the settings of file until SIGTERM,
+// SIGINT or a fault, and returns the fault if there was one.
+func Run(role string, file settings.File, parts ...fx.Option) error {
+	chosen, err := file.Load()
+	if err != nil {
+		return err
+	}
+	ring := logring.New(chosen.Log.RingLines)
 	dumper := logring.NewDumper(filepath.Join(chosen.DataFolder, ringFolder), chosen.Node, ring, time.Now)
-	logger := zap.New(logring.NewCore(zapcore.DebugLevel, ring, dumper)).
+	core, closeLog := newLogCore(chosen.Log, ring, dumper)
+	defer closeLog()
+	logger := zap.New(core).
 		Named(role).With(zap.String("node", chosen.Node), zap.String("zone", chosen.Zone))
 	app := fx.New(
-		fx.WithLogger(func() fxevent.Logger { return &fxevent.ZapLogger{Logger: logger.Named("fx")} }),
+		fx.WithLogger(func() fxevent.Logger { return newFxLogger(logger) }),
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(stopTimeout),
-		fx.Supply(chosen, ring, dumper, logger),
-		fx.Provide(NewTasks, NewReadiness, newRegistry),
-		fx.Invoke(serveStatus, dumpOnSignal),
+		fx.Supply(chosen, file, ring, dumper, logger),
+		fx.Provide(NewTasks, NewReadiness, newRegistry, newReloads),
+		fx.Invoke(serveStatus, dumpOnSignal, watchSettings),
 		fx.Options(parts...),
 	)
-	return runApplication(app, dumper)
+	logger.Info("process starts", zap.String("settings", file.Path))
+	err = runApplication(app, dumper)
+	logger.Info("process ends", zap.Error(err))
+	return err
+}
+
+// newLogCore returns where log lines go, and what writes the last ones.
+func newLogCore(chosen settings.Log, ring *logring.Ring, dumper *logring.Dumper) (zapcore.Core, func()) {
+	kept := logring.NewCore(zapcore.DebugLevel, ring, dumper)
+	if !chosen.Output {
+		return kept, func() {}
+	}
+	level, err := zapcore.ParseLevel(chosen.Level)
+	if err != nil {
+		level = zapcore.InfoLevel
+	}
+	stream := logstream.NewStream(logstream.Options{
+		Level:          level,
+		LinesPerSecond: chosen.LinesPerSecond,
+		QueueLines:     chosen.QueueLines,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		stream.Run(ctx, os.Stdout)
+	}()
+	return zapcore.NewTee(kept, logstream.NewCore(stream)), func() {
+		cancel()
+		select {
+		case <-done:
+		case <-time.After(lastLinesTimeout):
+		}
+	}
+}
+
+// newFxLogger returns a logger for the application's wiring, which matters
+// only when something fails.
+func newFxLogger(logger *zap.Logger) fxevent.Logger {
+	wiring := &fxevent.ZapLogger{Logger: logger.Named("fx")}
+	wiring.UseLogLevel(zapcore.DebugLevel)
+	return wiring
 }
 
 func runApplication(app *fx.App, dumper *logring.Dumper) error {
--- a/internal/replica/controller.go
+++ b/internal/replica/controller.go
@@ -43,6 +43,13 @@
 	candidates map[model.NodeName]Candidate
 	// empty is the state machine's snapshot before it applied anything.
 	empty []byte
+	// contacts are the members to ask for a place, when the settings changed.
+	contacts atomic.Pointer[[]model.NodeName]
+	// resumeAt is when a member whose disk was full tries again; zero while it
+	// runs.
+	resumeAt time.Time
+	// now is the time of the present Reconcile.
+	now time.Time
 	// nextPlaceCheck is when a member without a leader asks whether it still
 	// has its place.
 	nextPlaceCheck time.Time
@@ -129,7 +136,12 @@
 		controller.refuseRequests()
 		return
 	}
-	if controller.core == nil {
+	controller.now = now
+	controller.takeContacts()
+	switch {
+	case !controller.resumeAt.IsZero():
+		controller.resume(now)
+	case controller.core == nil:
 		controller.join(now)
 	}
 	if controller.core != nil {
@@ -150,15 +162,22 @@
 	controller.checkPlace(now)
 	controller.takeRequests(now)
 	controller.work()
-	for len(controller.backlog) > 0 && !controller.stopped.Load() {
+	for len(controller.backlog) > 0 && controller.running() {
 		controller.takeRequests(now)
 		controller.work()
 	}
-	if controller.stopped.Load() {
+	if !controller.running() {
 		return
 	}
 	controller.takeSnapshot()
-	controller.expire(now)
+	if controller.running() {
+		controller.expire(now)
+	}
+}
+
+// running tells whether the member has a core and may use it.
+func (controller *Controller) running() bool {
+	return !controller.stopped.Load() && controller.core != nil
 }
 
 func (controller *Controller) takeMessages(now time.Time) {
@@ -173,7 +192,7 @@
 
 // work does what the core wants until it wants nothing more.
 func (controller *Controller) work() {
-	for {
+	for controller.running() {
 		if err := controller.core.Err(); err != nil {
 			controller.fail(faults.New(faults.StorageLostEntries, "%v; replace this member: remove it from the group, empty the folder and add it again", err))
 			return
@@ -287,7 +306,12 @@
 }
 
 // fail stops the member for good: it sends, promises and applies nothing more.
+// A full disk only suspends it.
 func (controller *Controller) fail(err error) {
+	if faults.CodeOf(err) == faults.StorageFull {
+		controller.suspend()
+		return
+	}
 	controller.statusLock.Lock()
 	if controller.failure == nil {
 		controller.failure = err
--- a/internal/replica/identity.go
+++ b/internal/replica/identity.go
@@ -8,6 +8,7 @@
 	"hash/crc32"
 	"io"
 	"io/fs"
+	"syscall"
 
 	"merlinpaddle/internal/faults"
 	"merlinpaddle/internal/filesystem"
@@ -88,7 +89,11 @@
 	}
 	data := binary.LittleEndian.AppendUint32(buffer.Bytes(), crc32.Checksum(buffer.Bytes(), identityChecksums))
 	if err := replaceIdentity(files, data); err != nil {
-		return faults.New(faults.StorageWriteFailed, "%s cannot be written: %v", identityFile, err)
+		code := faults.StorageWriteFailed
+		if errors.Is(err, syscall.ENOSPC) {
+			code = faults.StorageFull
+		}
+		return faults.New(code, "%s cannot be written: %v", identityFile, err)
 	}
 	return nil
 }
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -33,8 +33,13 @@
 	if controller.joiner.identity.Disk != 0 {
 		return nil
 	}
-	controller.joiner.identity.Disk = newDiskNumber(controller.options, now)
-	return writeIdentity(controller.files, controller.joiner.identity)
+	identity := controller.joiner.identity
+	identity.Disk = newDiskNumber(controller.options, now)
+	if err := writeIdentity(controller.files, identity); err != nil {
+		return err
+	}
+	controller.joiner.identity = identity
+	return nil
 }
 
 func (controller *Controller) takeJoinMessages() {
--- a/internal/replica/place.go
+++ b/internal/replica/place.go
@@ -99,12 +99,7 @@
 // startOver gives up the member's identity for good: it gets a new disk number
 // and asks for a place as an empty disk does. Its old log is not used again.
 func (controller *Controller) startOver(now time.Time) error {
-	for _, index := range controller.proposalIndexes() {
-		controller.settleProposal(index, outcome{err: unknownOutcome("this member was removed from the group")})
-	}
-	for _, id := range sortedKeys(controller.reads) {
-		controller.answerRead(raft.ReadState{ID: id, Failed: true})
-	}
+	controller.abandon("this member was removed from the group")
 	if err := controller.storage.log.Close(); err != nil {
 		return err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,7 @@
 	// Empty means unencrypted links, for tests on loopback only.
 	Keys string `koanf:"keys"`
 
+	Log      Log      `koanf:"log"`
 	Control  Control  `koanf:"control"`
 	Relay    Relay    `koanf:"relay"`
 	Balancer Balancer `koanf:"balancer"`
@@ -69,6 +70,20 @@
 	StopGrace time.Duration `koanf:"stop_grace" validate:"min=0,max=300000000000"`
 }
 
+// Log is the section of structured log lines.
+type Log struct {
+	// Output tells whether lines go to standard output besides the ring.
+	Output bool `koanf:"output"`
+	// Level is the lowest level that goes to standard output.
+	Level string `koanf:"level" validate:"oneof=debug info warn error"`
+	// LinesPerSecond bounds the lines of one kind on standard output.
+	LinesPerSecond int `koanf:"lines_per_second" validate:"min=1,max=100000"`
+	// QueueLines bounds the lines that wait for standard output.
+	QueueLines int `koanf:"queue_lines" validate:"min=1,max=1000000"`
+	// RingLines is the number of lines that are kept for a crash.
+	RingLines int `koanf:"ring_lines" validate:"min=1,max=1000000"`
+}
+
 // Peer is the name and control address of another process.
 type Peer struct {
 	// Name is the other process's unique name.
@@ -255,6 +270,7 @@
 	return Settings{
 		Zone:       "zone-1",
 		DataFolder: "data",
+		Log:        Log{Level: "info", LinesPerSecond: 50, QueueLines: 1024, RingLines: 4096},
 		Control: Control{
 			ElectionTimeout:   time.Second,
 			HeartbeatInterval: 150 * time.Millisecond,
