Give a new learner time to answer before it counts as silent

Ruled out: stale deltas of the feed (revisions in the log are in order). Change: silence counts from when the leader began to send to the member. Test: TestPlan, 'learner that was just added and has not answered yet stays'.

--- a/internal/logstream/logstream.go
+++ b/internal/logstream/logstream.go
@@ -153,7 +153,7 @@
 // With implements zapcore.Core.
 func (core *Core) With(fields []zapcore.Field) zapcore.Core {
 	encoder := core.encoder.Clone()
-	for _, field := range fields {
+	for _, field := range plain(fields) {
 		field.AddTo(encoder)
 	}
 	return &Core{stream: core.stream, encoder: encoder}
@@ -178,7 +178,7 @@
 			Key: "left_out", Type: zapcore.Uint64Type, Integer: int64(leftOut),
 		})
 	}
-	buffer, err := core.encoder.EncodeEntry(entry, fields)
+	buffer, err := core.encoder.EncodeEntry(entry, plain(fields))
 	if err != nil {
 		return err
 	}
@@ -187,5 +187,20 @@
 	return nil
 }
 
+// plain returns fields with the texts of errors, without the stacks that some
+// errors carry.
+func plain(fields []zapcore.Field) []zapcore.Field {
+	for index, field := range fields {
+		failure, isError := field.Interface.(error)
+		if field.Type != zapcore.ErrorType || !isError {
+			continue
+		}
+		copied := append([]zapcore.Field(nil), fields...)
+		copied[index] = zapcore.Field{Key: field.Key, Type: zapcore.StringType, String: failure.Error()}
+		return plain(copied)
+	}
+	return fields
+}
+
 // Sync implements zapcore.Core. Lines are written as they come.
 func (core *Core) Sync() error { return nil }
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -283,7 +283,7 @@
 		if raft.progress[member.ID] != nil {
 			continue
 		}
-		progress := &Progress{Next: raft.log.lastIndex() + 1}
+		progress := &Progress{Next: raft.log.lastIndex() + 1, addedAt: raft.now}
 		if member.ID == raft.options.ID {
 			progress.Match = raft.log.stable
 			progress.acknowledgedRound = raft.round
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -38,6 +38,8 @@
 	snapshot          *Snapshot
 	snapshotOffset    uint64
 	snapshotRound     uint64
+	// addedAt is when this leader began to send to the follower.
+	addedAt time.Time
 	// heardAt is when the follower last answered.
 	heardAt time.Time
 }
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -115,6 +115,8 @@
 // Peer is what the leader knows of one member of the configuration in force.
 type Peer struct {
 	Member
+	// AddedAt is when this leader began to send to the member.
+	AddedAt time.Time
 	// HeardAt is when the member last answered this leader; zero means never.
 	HeardAt time.Time
 	// CaughtUp tells that the member holds every committed entry.
@@ -156,6 +158,7 @@
 	for _, member := range members {
 		peer := Peer{Member: member, CaughtUp: raft.caughtUp(member.ID)}
 		if progress := raft.progress[member.ID]; progress != nil {
+			peer.AddedAt = progress.addedAt
 			peer.HeardAt = progress.heardAt
 		}
 		if member.ID == raft.options.ID {
--- a/internal/reconfigure/reconfigure.go
+++ b/internal/reconfigure/reconfigure.go
@@ -179,12 +179,14 @@
 	now     time.Time
 }
 
+// silence is how long the member has not answered, counted at the earliest
+// from when this leader began to send to it.
 func (plan *planner) silence(peer raft.Peer) time.Duration {
-	heardAt := peer.HeardAt
-	if plan.status.LeaderSince.After(heardAt) {
-		heardAt = plan.status.LeaderSince
+	latest := peer.HeardAt
+	if peer.AddedAt.After(latest) {
+		latest = peer.AddedAt
 	}
-	return plan.now.Sub(heardAt)
+	return plan.now.Sub(latest)
 }
 
 func (plan *planner) present(peer raft.Peer) bool {
--- /dev/null
+++ b/internal/reconfigure/reconfigure_test.go
@@ -0,0 +1,103 @@
+package reconfigure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/raft"
+	"merlinpaddle/internal/replica"
+)
+
+var (
+	began = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	now   = began.Add(time.Minute)
+)
+
+// peer returns a member of which this leader has known since its begin.
+func peer(id replica.MemberID, name model.NodeName, change ...func(*raft.Peer)) raft.Peer {
+	made := raft.Peer{
+		Member:   raft.Member{ID: id, Name: name, Disk: uint64(id) * 100},
+		AddedAt:  began,
+		HeardAt:  now.Add(-50 * time.Millisecond),
+		CaughtUp: true,
+	}
+	for _, apply := range change {
+		apply(&made)
+	}
+	return made
+}
+
+func learner(peer *raft.Peer) { peer.Learner = true }
+func behind(peer *raft.Peer)  { peer.CaughtUp = false }
+func silentFor(duration time.Duration) func(*raft.Peer) {
+	return func(peer *raft.Peer) { peer.HeardAt = now.Add(-duration) }
+}
+
+// addedFor makes a member that was added a while ago and never answered.
+func addedFor(duration time.Duration) func(*raft.Peer) {
+	return func(peer *raft.Peer) {
+		peer.AddedAt = now.Add(-duration)
+		peer.HeardAt = time.Time{}
+		peer.CaughtUp = false
+	}
+}
+
+func TestPlan(t *testing.T) {
+	long := time.Minute
+	cases := []struct {
+		name       string
+		losses     int
+		peers      []raft.Peer
+		candidates []replica.Candidate
+		want       Change
+	}{
+		{name: "nothing to do", losses: 1, peers: []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c")}},
+		{name: "silent voter without a standby stays", losses: 1,
+			peers: []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c", silentFor(long))}},
+		{name: "silent voter is replaced once a learner is ready", losses: 1,
+			peers: []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c", silentFor(long)), peer(4, "d", learner)},
+			want:  Change{Kind: ChangeRemove, ID: 3, Name: "c"}},
+		{name: "a voter that was silent for a moment stays", losses: 1,
+			peers: []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c", silentFor(2*time.Second)), peer(4, "d", learner)}},
+		{name: "a learner that is behind replaces nobody", losses: 1,
+			peers: []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c", silentFor(long)), peer(4, "d", learner, behind)}},
+		{name: "no removal without a majority that answers", losses: 2,
+			peers: []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c", silentFor(long)), peer(4, "d", silentFor(long)), peer(5, "e", silentFor(long)), peer(6, "f", learner)}},
+		{name: "learner is promoted while voters are missing", losses: 1,
+			peers: []raft.Peer{peer(1, "a"), peer(2, "b"), peer(4, "d", learner)},
+			want:  Change{Kind: ChangePromote, ID: 4, Name: "d"}},
+		{name: "learner stays one when there are voters enough", losses: 1,
+			peers: []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c"), peer(4, "d", learner)}},
+		{name: "two losses want five voters", losses: 2,
+			peers: []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c"), peer(4, "d", learner)},
+			want:  Change{Kind: ChangePromote, ID: 4, Name: "d"}},
+		{name: "lost disk of a voter", losses: 1,
+			peers:      []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c", silentFor(time.Second))},
+			candidates: []replica.Candidate{{Name: "c", Disk: 7, At: now}},
+			want:       Change{Kind: ChangeRemove, ID: 3, Name: "c"}},
+		{name: "the leader does not remove itself", losses: 1,
+			peers:      []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c")},
+			candidates: []replica.Candidate{{Name: "a", Disk: 7, At: now}}},
+		{name: "new member", losses: 1,
+			peers:      []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c")},
+			candidates: []replica.Candidate{{Name: "d", Disk: 7, At: now}},
+			want:       Change{Kind: ChangeAdd, Name: "d"}},
+		{name: "learner that was just added and has not answered yet stays", losses: 1,
+			peers:      []raft.Peer{peer(1, "a"), peer(2, "b"), peer(4, "c", learner, addedFor(100*time.Millisecond))},
+			candidates: []replica.Candidate{{Name: "c", Disk: 400, At: now}}},
+		{name: "learner that never answered is dropped", losses: 1,
+			peers: []raft.Peer{peer(1, "a"), peer(2, "b"), peer(4, "c", learner, addedFor(long))},
+			want:  Change{Kind: ChangeRemove, ID: 4, Name: "c"}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			status := replica.Status{Self: 1, Leading: true, LeaderSince: began, Peers: test.peers, Candidates: test.candidates}
+			got := Plan(DefaultOptions(test.losses), status, now)
+			got.Cause = ""
+			require.Equal(t, test.want, got)
+		})
+	}
+}
