--- a/internal/direct/balancernode/metrics.go
+++ b/internal/direct/balancernode/metrics.go
@@ -27,14 +27,6 @@
 	}
 }
 
-// Decided implements forwarder.Observer.
-func (metrics *metrics) Decided(_ steer.Segment, decision steer.Decision) {
-	metrics.decisions[decision.Reason].Add(1)
-}
-
-// Malformed implements forwarder.Observer.
-func (metrics *metrics) Malformed(error) { metrics.malformed.Add(1) }
-
 // Describe implements prometheus.Collector.
 func (metrics *metrics) Describe(descriptions chan<- *prometheus.Desc) {
 	descriptions <- metrics.packets
--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -41,7 +41,7 @@
 	return fx.Module("direct balancer",
 		fx.Supply(model.RoleBalancer),
 		transport.ModuleWith(transport.QuickTiming()),
-		fx.Provide(provideTable, provideSubscriber, provideSuspects, provideForwarder, newMetrics),
+		fx.Provide(provideTable, provideSubscriber, provideSuspects, provideForwarder, newMetrics, newObserver),
 		fx.Invoke(run),
 	)
 }
@@ -83,12 +83,12 @@
 	return feed.NewSubscriber(mailbox, dispatcher, table, linkConnector{links: links}, direct.SeedMembers(chosen.Direct), onChange)
 }
 
-func provideSuspects(table *steer.Table, mailbox *protocol.Mailbox, subscriber *feed.Subscriber) *forwarder.Suspects {
-	return forwarder.NewSuspects(table, probe.New(probe.DialTCP), mailbox, subscriber.Following)
+func provideSuspects(table *steer.Table, mailbox *protocol.Mailbox, subscriber *feed.Subscriber, logger *zap.Logger) *forwarder.Suspects {
+	return forwarder.NewSuspects(table, probe.New(probe.DialTCP), mailbox, subscriber.Following, logger.Named("targets"))
 }
 
-func provideForwarder(chosen settings.Settings, codec forwarder.Codec, table *steer.Table, suspects *forwarder.Suspects, metrics *metrics) (*forwarder.Forwarder, error) {
-	return forwarder.New(chosen.Direct.Packets, codec, table, suspects, metrics)
+func provideForwarder(chosen settings.Settings, codec forwarder.Codec, table *steer.Table, suspects *forwarder.Suspects, observer *observer) (*forwarder.Forwarder, error) {
+	return forwarder.New(chosen.Direct.Packets, codec, table, suspects, observer)
 }
 
 // parts are what run needs; fx fills it.
@@ -120,6 +120,7 @@
 	parts.Lifecycle.Append(fx.StartStopHook(
 		func() {
 			parts.Tasks.Go("forwarder", parts.Forwarder.Run)
+			parts.Tasks.Go("parked packets", parts.Forwarder.Release)
 			for _, runner := range runners {
 				parts.Tasks.Go("controller", func(ctx context.Context) error {
 					runner.Run(ctx)
--- /dev/null
+++ b/internal/direct/balancernode/observer.go
@@ -0,0 +1,61 @@
+package balancernode
+
+import (
+	"go.uber.org/zap"
+
+	"merlinpaddle/internal/direct/forwarder"
+	"merlinpaddle/internal/direct/steer"
+)
+
+// observer counts decisions and writes a line for each one that opens, refuses
+// or resets a flow. Packets of open flows that reach their owner are counted
+// only.
+type observer struct {
+	metrics *metrics
+	table   *steer.Table
+	logger  *zap.Logger
+}
+
+var _ forwarder.Observer = (*observer)(nil)
+
+func newObserver(metrics *metrics, table *steer.Table, logger *zap.Logger) *observer {
+	return &observer{metrics: metrics, table: table, logger: logger.Named("flows")}
+}
+
+// Decided implements forwarder.Observer.
+func (observer *observer) Decided(segment steer.Segment, decision steer.Decision) {
+	observer.metrics.decisions[decision.Reason].Add(1)
+	if decision.Reason == steer.ReasonOwner {
+		return
+	}
+	message := "packet dropped"
+	switch decision.Action {
+	case steer.Forward:
+		message = "flow opened"
+	case steer.Reset:
+		message = "flow reset"
+	}
+	entry := observer.logger.Check(zap.InfoLevel, message)
+	if entry == nil {
+		return
+	}
+	entry.Write(
+		zap.Stringer("caller", segment.Caller),
+		zap.Stringer("route", segment.Service),
+		zap.Stringer("reason", decision.Reason),
+		zap.Bool("opening", segment.Opening),
+		zap.Int("attempt", segment.Attempt),
+		zap.Uint32("token", uint32(max(decision.Token, segment.Token))),
+		zap.Uint64("target", uint64(decision.ID)),
+		zap.Uint32("suspect", uint32(decision.Suspect)),
+		zap.Uint64("revision", uint64(decision.Revision)),
+		zap.Uint64("version", decision.Version),
+		zap.Duration("confirmed_ago", decision.ConfirmedAgo),
+	)
+}
+
+// Malformed implements forwarder.Observer.
+func (observer *observer) Malformed(err error) {
+	observer.metrics.malformed.Add(1)
+	observer.logger.Info("packet malformed", zap.Error(err))
+}
--- a/internal/direct/directory/command.go
+++ b/internal/direct/directory/command.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"reflect"
 
 	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/gobstream"
 )
 
 // Command is one change of the directory in the replicated log. Exactly one
@@ -64,15 +66,17 @@
 	return buffer.Bytes(), err
 }
 
+var decoders = gobstream.NewDecoders()
+
 // DecodeResult is the inverse of EncodeResult.
 func DecodeResult(data []byte) (Result, error) {
 	var result Result
-	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&result)
+	err := decoders.Decode(data, reflect.ValueOf(&result))
 	return result, err
 }
 
 func decodeCommand(data []byte) (Command, error) {
 	var command Command
-	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&command)
+	err := decoders.Decode(data, reflect.ValueOf(&command))
 	return command, err
 }
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -52,6 +52,7 @@
 	table    *steer.Table
 	suspects *Suspects
 	observer Observer
+	parking  *parking
 }
 
 // New opens the socket at address.
@@ -67,7 +68,7 @@
 	// A smaller buffer than asked for loses packets earlier; nothing else.
 	_ = socket.SetReadBuffer(socketBufferBytes)
 	_ = socket.SetWriteBuffer(socketBufferBytes)
-	return &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, observer: observer}, nil
+	return &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, observer: observer, parking: newParking()}, nil
 }
 
 // Address returns the socket's address.
@@ -97,14 +98,22 @@
 
 // carry handles one packet, which begins after headroom bytes.
 func (forwarder *Forwarder) carry(buffer []byte, headroom int, now time.Time) {
-	packet := buffer[headroom:]
-	segment, err := forwarder.codec.Parse(packet)
+	segment, err := forwarder.codec.Parse(buffer[headroom:])
 	if err != nil {
 		forwarder.observer.Malformed(err)
 		return
 	}
+	forwarder.decide(buffer, headroom, segment, now)
+}
+
+// decide does with a packet what the table says.
+func (forwarder *Forwarder) decide(buffer []byte, headroom int, segment steer.Segment, now time.Time) {
+	packet := buffer[headroom:]
 	decision := forwarder.table.Decide(segment, now)
 	forwarder.observer.Decided(segment, decision)
+	if worthParking(decision.Reason) {
+		forwarder.parking.put(packet, segment, now)
+	}
 	if decision.Suspect != 0 {
 		forwarder.suspects.Note(decision.Suspect)
 	}
@@ -117,6 +126,33 @@
 	}
 }
 
+// release decides anew about parked packets after the table changed. A copy of
+// an opening packet is treated as the first: its former copies were not placed
+// either.
+func (forwarder *Forwarder) release(now time.Time) {
+	headroom := forwarder.codec.Headroom()
+	for _, parked := range forwarder.parking.take(now) {
+		parked.segment.Attempt = 0
+		buffer := make([]byte, headroom+len(parked.packet))
+		copy(buffer[headroom:], parked.packet)
+		forwarder.decide(buffer, headroom, parked.segment, now)
+	}
+}
+
+// Release decides anew about parked packets whenever the table changes, until
+// ctx ends.
+func (forwarder *Forwarder) Release(ctx context.Context) error {
+	changes := forwarder.table.Watch()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changes:
+			forwarder.release(time.Now())
+		}
+	}
+}
+
 // send writes one datagram. A lost one is sent again by its sender.
 func (forwarder *Forwarder) send(datagram []byte, to netip.AddrPort) {
 	_, _ = forwarder.socket.WriteToUDPAddrPort(datagram, to)
--- a/internal/direct/forwarder/suspects.go
+++ b/internal/direct/forwarder/suspects.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"merlinpaddle/internal/board"
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
@@ -32,18 +34,20 @@
 	prober  *probe.Prober
 	mailbox *protocol.Mailbox
 	follows func() model.NodeName
+	logger  *zap.Logger
 	probed  map[directory.Token]time.Time
 }
 
 // NewSuspects returns the controller. follows returns the member that gets
 // the reports.
-func NewSuspects(table *steer.Table, prober *probe.Prober, mailbox *protocol.Mailbox, follows func() model.NodeName) *Suspects {
+func NewSuspects(table *steer.Table, prober *probe.Prober, mailbox *protocol.Mailbox, follows func() model.NodeName, logger *zap.Logger) *Suspects {
 	return &Suspects{
 		notes:   board.NewQueue[directory.Token]("suspects", suspectsKept),
 		table:   table,
 		prober:  prober,
 		mailbox: mailbox,
 		follows: follows,
+		logger:  logger,
 		probed:  make(map[directory.Token]time.Time),
 	}
 }
@@ -85,7 +89,17 @@
 func (suspects *Suspects) take(now time.Time, result probe.Result) {
 	token := directory.Token(result.Key)
 	target, known := suspects.table.Lookup(token)
-	if !known || result.Outcome == probe.Answered {
+	if !known {
+		return
+	}
+	member := suspects.follows()
+	suspects.logger.Info("suspected target probed",
+		zap.Uint64("target", uint64(target.ID)),
+		zap.Uint32("token", uint32(token)),
+		zap.Stringer("state", target.State),
+		zap.Stringer("outcome", result.Outcome),
+		zap.String("reported_to", string(member)))
+	if result.Outcome == probe.Answered {
 		return
 	}
 	suspects.table.Avoid(token, now)
@@ -93,7 +107,7 @@
 	if result.Outcome == probe.Refused {
 		verdict = feed.VerdictRefused
 	}
-	if member := suspects.follows(); member != "" {
+	if member != "" {
 		suspects.mailbox.Send(member, feed.HealthReport{ID: target.ID, Verdict: verdict, Balancer: suspects.mailbox.Self})
 	}
 }
--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -49,6 +49,9 @@
 	probePause = 700 * time.Millisecond
 	// transferTimeout bounds the hand-over of leadership at a planned stop.
 	transferTimeout = 800 * time.Millisecond
+	// firstElectionDivisor is how much shorter the first wait for a leader
+	// after a start is than the election timeout.
+	firstElectionDivisor = 4
 	// segmentBytes is the size of a log segment.
 	segmentBytes = 1 << 20
 	// readinessPart is the member's part of the process's readiness.
@@ -90,10 +93,13 @@
 	self := model.NodeName(chosen.Node)
 	seeds := direct.SeedMembers(chosen.Direct)
 	return replica.NewController(replica.Options{
-		Self:              self,
-		Members:           seeds,
-		Join:              !chosen.Direct.Bootstrap || !slices.Contains(seeds, self),
-		ElectionTimeout:   chosen.Direct.ElectionTimeout,
+		Self:            self,
+		Members:         seeds,
+		Join:            !chosen.Direct.Bootstrap || !slices.Contains(seeds, self),
+		ElectionTimeout: chosen.Direct.ElectionTimeout,
+
+		FirstElectionTimeout: chosen.Direct.ElectionTimeout / firstElectionDivisor,
+
 		HeartbeatInterval: chosen.Direct.HeartbeatInterval,
 		SnapshotEvery:     chosen.Direct.SnapshotEvery,
 		SegmentBytes:      segmentBytes,
@@ -105,18 +111,18 @@
 	return registrar.NewProposer(mailbox, dispatcher, group, state, rand.Uint64())
 }
 
-func provideRegistrar(state *directory.Directory, proposer *registrar.Proposer, group *replica.Controller, renewed *registrar.Renewed) *registrar.Registrar {
-	return registrar.NewRegistrar(state, proposer, group, renewed)
+func provideRegistrar(state *directory.Directory, proposer *registrar.Proposer, group *replica.Controller, renewed *registrar.Renewed, logger *zap.Logger) *registrar.Registrar {
+	return registrar.NewRegistrar(state, proposer, group, renewed, logger.Named("registrar"))
 }
 
 func provideHealth(chosen settings.Settings, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher,
-	group *replica.Controller, state *directory.Directory, renewed *registrar.Renewed) *registrar.Health {
+	group *replica.Controller, state *directory.Directory, renewed *registrar.Renewed, logger *zap.Logger) *registrar.Health {
 	options := registrar.HealthOptions{
 		SilentAfter: chosen.Direct.SilentAfter,
 		ProbePause:  probePause,
 		ForgetAfter: chosen.Direct.FlowLife + forgetMargin,
 	}
-	return registrar.NewHealth(options, mailbox, dispatcher, group, state, renewed, probe.New(probe.DialTCP))
+	return registrar.NewHealth(options, mailbox, dispatcher, group, state, renewed, probe.New(probe.DialTCP), logger.Named("targets"))
 }
 
 func providePublisher(mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, state *directory.Directory, group *replica.Controller) *feed.Publisher {
--- a/internal/direct/probe/probe.go
+++ b/internal/direct/probe/probe.go
@@ -28,6 +28,20 @@
 	Silent
 )
 
+// String returns the outcome's name.
+func (outcome Outcome) String() string {
+	switch outcome {
+	case Answered:
+		return "answered"
+	case Refused:
+		return "refused"
+	case Silent:
+		return "silent"
+	default:
+		return "unknown"
+	}
+}
+
 // Result is the outcome of one probe.
 type Result struct {
 	// Key is what Start was given.
@@ -36,8 +50,11 @@
 }
 
 const (
-	// timeout bounds one probe.
-	timeout = 300 * time.Millisecond
+	// dialTimeout bounds one attempt to connect, and attempts is their number:
+	// one lost packet must not look like a dead machine, and waiting for the
+	// packet to be sent again by the operating system takes a second.
+	dialTimeout = 90 * time.Millisecond
+	attempts    = 2
 	// concurrent bounds the probes that run at once; others are left out, and
 	// asked for again by whoever wants them.
 	concurrent = 32
@@ -90,15 +107,22 @@
 }
 
 func (prober *Prober) run(key uint64, address netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	outcome := classify(prober.dial(ctx, address))
+	outcome := Silent
+	for attempt := 0; attempt < attempts && outcome == Silent; attempt++ {
+		outcome = prober.dialOnce(address)
+	}
 	prober.lock.Lock()
 	delete(prober.running, key)
 	prober.lock.Unlock()
 	prober.Results.Put(Result{Key: key, Outcome: outcome})
 }
 
+func (prober *Prober) dialOnce(address netip.AddrPort) Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	return classify(prober.dial(ctx, address))
+}
+
 func classify(err error) Outcome {
 	switch {
 	case err == nil:
--- a/internal/direct/registrar/registrar.go
+++ b/internal/direct/registrar/registrar.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"merlinpaddle/internal/board"
 	"merlinpaddle/internal/direct/declared"
 	"merlinpaddle/internal/direct/directory"
@@ -25,12 +27,13 @@
 	proposer  *Proposer
 	group     Group
 	// renewals has when each target was last heard from at this member.
-	renewals *board.Table[directory.TargetID, time.Time]
+	renewals *Renewed
+	logger   *zap.Logger
 }
 
 // NewRegistrar returns the registrar of one member.
-func NewRegistrar(directory *directory.Directory, proposer *Proposer, group Group, renewals *Renewed) *Registrar {
-	return &Registrar{directory: directory, proposer: proposer, group: group, renewals: renewals}
+func NewRegistrar(directory *directory.Directory, proposer *Proposer, group Group, renewals *Renewed, logger *zap.Logger) *Registrar {
+	return &Registrar{directory: directory, proposer: proposer, group: group, renewals: renewals, logger: logger}
 }
 
 // Renewed is the blackboard's table of targets that were heard from at this
@@ -77,7 +80,15 @@
 	if known, exists := registrar.directory.Target(stated.ID); exists && isRenewal(known, stated) {
 		return nil
 	}
-	_, err := registrar.proposer.Propose(ctx, directory.Command{Register: &directory.Registration{Target: stated}})
+	result, err := registrar.proposer.Propose(ctx, directory.Command{Register: &directory.Registration{Target: stated}})
+	registrar.logger.Info("target registered",
+		zap.Uint64("target", uint64(stated.ID)),
+		zap.String("service", stated.Service),
+		zap.Stringer("address", stated.Address),
+		zap.Stringer("state", stated.State),
+		zap.Uint64("sequence", stated.Sequence),
+		zap.Uint32("token", uint32(result.Token)),
+		zap.Error(err))
 	return err
 }
 
@@ -114,6 +125,7 @@
 		return err
 	}
 	_, err := registrar.proposer.Propose(ctx, directory.Command{Leave: &directory.Departure{ID: id}})
+	registrar.logger.Info("target leaves", zap.Uint64("target", uint64(id)), zap.Error(err))
 	return err
 }
 
@@ -133,6 +145,14 @@
 		if err != nil {
 			return err
 		}
+		registrar.logger.Info("configuration declared",
+			zap.Uint64("version", next.Version),
+			zap.Uint64("base", difference.Base),
+			zap.Uint64("held", result.Version),
+			zap.Int("routes", len(next.Routes)),
+			zap.Int("changed", len(difference.Routes)),
+			zap.Int("removed", len(difference.Removed)),
+			zap.Bool("conflict", result.Conflict))
 		if !result.Conflict {
 			return nil
 		}
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -23,6 +23,16 @@
 func (table *Table) Decide(segment Segment, now time.Time) Decision {
 	table.lock.RLock()
 	defer table.lock.RUnlock()
+	decision := table.decide(segment, now)
+	if decision.Reason != ReasonOwner {
+		decision.Revision = table.revision
+		decision.Version = table.version
+		decision.ConfirmedAgo = now.Sub(table.confirmedAt)
+	}
+	return decision
+}
+
+func (table *Table) decide(segment Segment, now time.Time) Decision {
 	if table.version == 0 {
 		return Decision{Reason: ReasonNoTable}
 	}
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -9,8 +9,10 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/model"
 )
 
 // Segment is what a decision needs of one packet of a caller.
@@ -103,4 +105,10 @@
 	// Suspect is the token of the target that did not answer the former copy
 	// of this opening packet, or zero.
 	Suspect directory.Token
+	// Revision, Version and ConfirmedAgo tell the table that decided: its
+	// revision, its declared version, and how long ago a member confirmed it.
+	// They are not set for packets that reach their owner.
+	Revision     model.Revision
+	Version      uint64
+	ConfirmedAgo time.Duration
 }
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"merlinpaddle/internal/board"
 	"merlinpaddle/internal/direct/declared"
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/model"
@@ -65,6 +66,7 @@
 	targets     map[directory.Token]*record
 	// services has the targets that may take new flows, by service.
 	services map[string][]*record
+	changes  board.Notifier
 }
 
 // NewTable returns an empty table.
@@ -136,9 +138,13 @@
 	table.revision = changes.To
 	table.version = changes.Version
 	table.rebuildServices()
+	table.changes.Notify()
 	return true
 }
 
+// Watch registers a channel that gets a notice after the table changed.
+func (table *Table) Watch() <-chan struct{} { return table.changes.Watch() }
+
 // replace takes a whole directory in. What this balancer learned of targets
 // that stay is kept.
 func (table *Table) replace(changes directory.Changes, now time.Time) {
--- a/internal/state/commandstream.go
+++ b/internal/gobstream/gobstream.go
@@ -1,4 +1,9 @@
-package state
+// Package gobstream decodes many short gob streams of the same types quickly.
+//
+// Each stream is readable by itself, because it begins with descriptions of
+// its types. Reading these costs far more than reading a value, so a decoder
+// that has read them is kept for the streams that begin with the same ones.
+package gobstream
 
 import (
 	"bytes"
@@ -10,60 +15,59 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maximumCommandStreams bounds the kept streams: one for each type of command
-// and each numbering of types that the log holds.
-const maximumCommandStreams = 256
+// maximumStreams bounds the kept decoders: one for each type of value and each
+// numbering of types that the streams have.
+const maximumStreams = 256
 
 // maximumKeptBytes is the largest value after which a decoder is kept, because
 // it keeps buffers of that size: a restored backup comes once.
 const maximumKeptBytes = 1 << 20
 
-// commandStreams decodes commands. Reading type descriptions costs far more
-// than reading a value, so a decoder that has read them is kept, and gets only
-// the value of the next command that begins with the same ones.
-type commandStreams struct {
+// Decoders keeps decoders. It may be used from many goroutines.
+type Decoders struct {
 	lock    sync.Mutex
-	streams map[uint64]*commandStream
+	streams map[uint64]*keptDecoder
 }
 
-// commandStream is a decoder that has read descriptions.
-type commandStream struct {
+// NewDecoders returns an empty set of decoders.
+func NewDecoders() *Decoders { return &Decoders{streams: make(map[uint64]*keptDecoder)} }
+
+// keptDecoder is a decoder that has read descriptions.
+type keptDecoder struct {
 	descriptions []byte
 	buffer       bytes.Buffer
 	decoder      *gob.Decoder
 }
 
-var decoders = commandStreams{streams: make(map[uint64]*commandStream)}
-
-// decode reads one command from a whole gob stream into pointer, which points
+// Decode reads the one value of a whole gob stream into pointer, which points
 // to a new value of its type.
-func (streams *commandStreams) decode(plain []byte, pointer reflect.Value) error {
+func (decoders *Decoders) Decode(plain []byte, pointer reflect.Value) error {
 	descriptions, value, err := splitStream(plain)
 	if err != nil {
 		return err
 	}
-	streams.lock.Lock()
-	defer streams.lock.Unlock()
+	decoders.lock.Lock()
+	defer decoders.lock.Unlock()
 	key := xxhash.Sum64(descriptions)
-	stream := streams.streams[key]
+	stream := decoders.streams[key]
 	if stream == nil || !bytes.Equal(stream.descriptions, descriptions) {
-		stream = newCommandStream(descriptions)
-		if len(streams.streams) >= maximumCommandStreams {
-			clear(streams.streams)
+		stream = newKeptDecoder(descriptions)
+		if len(decoders.streams) >= maximumStreams {
+			clear(decoders.streams)
 		}
-		streams.streams[key] = stream
+		decoders.streams[key] = stream
 	}
 	stream.buffer.Write(value)
 	err = stream.decoder.DecodeValue(pointer)
 	// The decoder's state after an error is not known.
 	if err != nil || len(value) > maximumKeptBytes {
-		delete(streams.streams, key)
+		delete(decoders.streams, key)
 	}
 	return err
 }
 
-func newCommandStream(descriptions []byte) *commandStream {
-	stream := &commandStream{descriptions: bytes.Clone(descriptions)}
+func newKeptDecoder(descriptions []byte) *keptDecoder {
+	stream := &keptDecoder{descriptions: bytes.Clone(descriptions)}
 	stream.decoder = gob.NewDecoder(&stream.buffer)
 	stream.buffer.Write(descriptions)
 	return stream
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -44,8 +44,11 @@
 	Group uint64
 	// ElectionTimeout is the shortest time without a leader before an
 	// election; each wait is drawn from [ElectionTimeout, 2*ElectionTimeout).
-	ElectionTimeout   time.Duration
-	HeartbeatInterval time.Duration
+	ElectionTimeout time.Duration
+	// FirstElectionTimeout replaces ElectionTimeout for the first wait after a
+	// start; zero means that it does not.
+	FirstElectionTimeout time.Duration
+	HeartbeatInterval    time.Duration
 	// MaxBatchEntries and MaxBatchBytes bound one append message.
 	MaxBatchEntries int
 	MaxBatchBytes   int
@@ -152,10 +155,6 @@
 	readyApplied  uint64
 }
 
-// firstElectionDivisor is how much shorter the first wait for a leader is than
-// the election timeout, at the least.
-const firstElectionDivisor = 4
-
 // New returns the core of a member with restored state.
 func New(options Options, state State) *Raft {
 	raft := &Raft{
@@ -221,13 +220,16 @@
 	}
 }
 
-// setFirstElectionDeadline makes the first wait after a start shorter than
+// setFirstElectionDeadline may make the first wait after a start shorter than
 // later ones: after a loss of all members nobody leads, and where somebody
 // does, the pre-vote is refused and changes nothing.
 func (raft *Raft) setFirstElectionDeadline() {
-	least := raft.options.ElectionTimeout / firstElectionDivisor
-	spread := time.Duration(raft.random.Int64N(int64(raft.options.ElectionTimeout/2) + 1))
-	raft.electionDeadline = raft.now.Add(least + spread)
+	if raft.options.FirstElectionTimeout == 0 {
+		raft.resetElectionDeadline()
+		return
+	}
+	spread := time.Duration(raft.random.Int64N(int64(raft.options.FirstElectionTimeout)))
+	raft.electionDeadline = raft.now.Add(raft.options.FirstElectionTimeout + spread)
 }
 
 func (raft *Raft) resetElectionDeadline() {
--- a/internal/replica/controller.go
+++ b/internal/replica/controller.go
@@ -120,8 +120,10 @@
 		Group:             opened.identity.Group,
 		ElectionTimeout:   controller.options.ElectionTimeout,
 		HeartbeatInterval: controller.options.HeartbeatInterval,
-		ChunkBytes:        controller.options.ChunkBytes,
-		Seed:              controller.options.Seed,
+
+		FirstElectionTimeout: controller.options.FirstElectionTimeout,
+		ChunkBytes:           controller.options.ChunkBytes,
+		Seed:                 controller.options.Seed,
 	}, state)
 	controller.joiner = nil
 	return nil
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -16,9 +16,12 @@
 	Members []model.NodeName
 	// Join tells that this member joins a running group as a learner and
 	// never founds one.
-	Join              bool
-	ElectionTimeout   time.Duration
-	HeartbeatInterval time.Duration
+	Join            bool
+	ElectionTimeout time.Duration
+	// FirstElectionTimeout replaces ElectionTimeout for the first wait after a
+	// start; zero means that it does not.
+	FirstElectionTimeout time.Duration
+	HeartbeatInterval    time.Duration
 	// SnapshotEvery is the number of log entries between snapshots.
 	SnapshotEvery int
 	// Seed fixes the election waits and the number of a new disk.
--- a/internal/state/codec.go
+++ b/internal/state/codec.go
@@ -10,6 +10,8 @@
 	"io"
 	"reflect"
 	"sync"
+
+	"merlinpaddle/internal/gobstream"
 )
 
 // Every command in the log must be readable by itself, so each is a gob stream
@@ -102,6 +104,8 @@
 	return deflater.Close()
 }
 
+var decoders = gobstream.NewDecoders()
+
 // DecodeCommand reads a command of the log, as EncodeCommand wrote it or as
 // earlier versions did.
 func DecodeCommand(encoded []byte) (Command, error) {
@@ -117,7 +121,7 @@
 		return nil, fmt.Errorf("decompress command: %w", err)
 	}
 	decoded := reflect.New(reflect.TypeOf(commandKinds[kind]))
-	if err := decoders.decode(plain, decoded); err != nil {
+	if err := decoders.Decode(plain, decoded); err != nil {
 		return nil, fmt.Errorf("decode command: %w", err)
 	}
 	return decoded.Elem().Interface().(Command), nil
--- a/internal/transport/links.go
+++ b/internal/transport/links.go
@@ -19,6 +19,11 @@
 type Timing struct {
 	// ConnectTimeout bounds the making of one connection.
 	ConnectTimeout time.Duration
+	// FirstConnectTimeout bounds the first attempt after a connection was
+	// lost; later attempts wait twice as long each, up to ConnectTimeout. A
+	// machine without power does not answer, and one that returns answers at
+	// once, so short attempts find it sooner. Zero means ConnectTimeout.
+	FirstConnectTimeout time.Duration
 	// Keepalive is the longest silence of a sender.
 	Keepalive time.Duration
 	// ReadTimeout is the silence after which a connection counts as broken.
@@ -30,6 +35,13 @@
 	BackoffMost  time.Duration
 }
 
+func (timing Timing) firstConnectTimeout() time.Duration {
+	if timing.FirstConnectTimeout == 0 {
+		return timing.ConnectTimeout
+	}
+	return timing.FirstConnectTimeout
+}
+
 // DefaultTiming returns the time limits of processes.
 func DefaultTiming() Timing {
 	return Timing{
@@ -46,12 +58,13 @@
 // cut and its end within a second.
 func QuickTiming() Timing {
 	return Timing{
-		ConnectTimeout: 400 * time.Millisecond,
-		Keepalive:      250 * time.Millisecond,
-		ReadTimeout:    900 * time.Millisecond,
-		WriteTimeout:   900 * time.Millisecond,
-		BackoffLeast:   20 * time.Millisecond,
-		BackoffMost:    150 * time.Millisecond,
+		ConnectTimeout:      400 * time.Millisecond,
+		FirstConnectTimeout: 60 * time.Millisecond,
+		Keepalive:           250 * time.Millisecond,
+		ReadTimeout:         900 * time.Millisecond,
+		WriteTimeout:        900 * time.Millisecond,
+		BackoffLeast:        20 * time.Millisecond,
+		BackoffMost:         150 * time.Millisecond,
 	}
 }
 
--- a/internal/transport/outgoing.go
+++ b/internal/transport/outgoing.go
@@ -67,15 +67,18 @@
 	}()
 	timing := link.links.options.Timing
 	delay := timing.BackoffLeast
+	connectTimeout := timing.firstConnectTimeout()
 	for ctx.Err() == nil {
-		established, err := link.connectAndServe(ctx)
+		established, err := link.connectAndServe(ctx, connectTimeout)
 		if ctx.Err() != nil {
 			return
 		}
 		link.links.options.Logger.Info("link down", zap.String("peer", string(link.peer)),
 			zap.Int("code", int(faults.CodeOf(err))), zap.Error(err))
+		connectTimeout = min(2*connectTimeout, timing.ConnectTimeout)
 		if established {
 			delay = timing.BackoffLeast
+			connectTimeout = timing.firstConnectTimeout()
 		}
 		if !sleep(ctx, jitter(delay)) {
 			return
@@ -86,9 +89,9 @@
 
 // connectAndServe makes one connection and serves it until it breaks. It
 // tells whether the connection was established.
-func (link *outgoingLink) connectAndServe(ctx context.Context) (bool, error) {
+func (link *outgoingLink) connectAndServe(ctx context.Context, connectTimeout time.Duration) (bool, error) {
 	options := link.links.options
-	stream, err := link.dial(ctx)
+	stream, err := link.dial(ctx, connectTimeout)
 	if err != nil {
 		return false, err
 	}
@@ -104,9 +107,9 @@
 	return true, connection.run(ctx, options.Timing.Keepalive, link.links.receive)
 }
 
-func (link *outgoingLink) dial(ctx context.Context) (net.Conn, error) {
+func (link *outgoingLink) dial(ctx context.Context, timeout time.Duration) (net.Conn, error) {
 	options := link.links.options
-	connectContext, cancel := context.WithTimeout(ctx, options.Timing.ConnectTimeout)
+	connectContext, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var dialer net.Dialer
 	raw, err := dialer.DialContext(connectContext, "tcp", link.currentAddress())
