--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -43,6 +43,10 @@
 	reconfigureInterval = 100 * time.Millisecond
 	// connectInterval is how often connections follow the membership.
 	connectInterval = 100 * time.Millisecond
+	// missedNumerator and missedDenominator tell how many renewal intervals
+	// after a renewal the next one counts as missed.
+	missedNumerator   = 8
+	missedDenominator = 5
 	// forgetMargin is how much longer a token is kept than the longest flow.
 	forgetMargin = 15 * time.Second
 	// probePause is the least time between two probes of one target.
@@ -119,6 +123,7 @@
 	group *replica.Controller, state *directory.Directory, renewed *registrar.Renewed, logger *zap.Logger) *registrar.Health {
 	options := registrar.HealthOptions{
 		SilentAfter: chosen.Direct.SilentAfter,
+		MissedAfter: chosen.Direct.RenewalInterval * missedNumerator / missedDenominator,
 		ProbePause:  probePause,
 		ForgetAfter: chosen.Direct.FlowLife + forgetMargin,
 	}
--- a/internal/direct/registrar/health.go
+++ b/internal/direct/registrar/health.go
@@ -20,6 +20,8 @@
 	// SilentAfter is how long a target may send no renewal before it is
 	// probed.
 	SilentAfter time.Duration
+	// MissedAfter is how long after a renewal the next one counts as missed.
+	MissedAfter time.Duration
 	// ProbePause is the least time between two probes of one target.
 	ProbePause time.Duration
 	// ForgetAfter is how long a failed target's token is kept: the longest
@@ -217,12 +219,15 @@
 	}
 }
 
-// takeSilence counts a process that got no answer from the target. Two that
-// did lately are enough: each asked twice, and a cut of one of them from the
-// target does not count for the other.
+// takeSilence counts a process that got no answer from the target. A target is
+// dead when two did lately and it also missed a renewal: on a link where
+// packets wait, a probe runs out of time although the target is well, and a
+// failed target's open flows are reset.
 func (health *Health) takeSilence(now time.Time, id directory.TargetID, witness model.NodeName) {
-	if health.observation(id).witness(now, witness) >= silentWitnesses {
-		health.fail(now, id, "several processes got no answer")
+	known := health.observation(id)
+	missed := now.Sub(known.seenAt) > health.options.MissedAfter
+	if known.witness(now, witness) >= silentWitnesses && missed {
+		health.fail(now, id, "several processes got no answer, and no renewal came")
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,8 @@
 	// SilentAfter is how long a target may send no renewal before it is
 	// probed.
 	SilentAfter time.Duration `koanf:"silent_after" validate:"min=500000000"`
+	// RenewalInterval is the time between two renewals of a target.
+	RenewalInterval time.Duration `koanf:"renewal_interval" validate:"min=10000000"`
 	// FlowLife is the longest life of a flow; the token of a target that is
 	// gone is kept as long.
 	FlowLife time.Duration `koanf:"flow_life" validate:"min=1000000000"`
@@ -313,6 +315,7 @@
 			HeartbeatInterval: 80 * time.Millisecond,
 			SnapshotEvery:     400,
 			SilentAfter:       5 * time.Second,
+			RenewalInterval:   time.Second,
 			FlowLife:          time.Minute,
 			AnswerWithin:      850 * time.Millisecond,
 			StopGrace:         2500 * time.Millisecond,
