Make the proposer a controller without goroutines of its own

Cause: calls waited in goroutines with timers, which no simulation on a virtual clock can run. Change: calls, retries and deadlines are handled by Reconcile; Calls waits for servers.

--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -2,7 +2,7 @@
 // services.
 //
 // It provides model.Role, *directory.Directory, *replica.Controller,
-// *replica.Node and *registrar.Registrar, includes transport.Module, and needs
+// *replica.Node and *registrar.Calls, includes transport.Module, and needs
 // what the process base provides.
 package member
 
@@ -38,7 +38,7 @@
 	// publishInterval is how often the feed runs without a notice.
 	publishInterval = 50 * time.Millisecond
 	// proposerInterval is how often the proposer runs without a notice.
-	proposerInterval = time.Second
+	proposerInterval = 25 * time.Millisecond
 	// reconfigureInterval is how often the membership is looked at.
 	reconfigureInterval = 100 * time.Millisecond
 	// connectInterval is how often connections follow the membership.
@@ -75,6 +75,7 @@
 			registrar.NewRenewed,
 			provideProposer,
 			provideRegistrar,
+			provideCalls,
 			provideHealth,
 			providePublisher,
 			provideReconfigure,
@@ -119,6 +120,10 @@
 	return registrar.NewRegistrar(state, proposer, group, renewed, logger.Named("registrar"))
 }
 
+func provideCalls(chosen settings.Settings, taker *registrar.Registrar) *registrar.Calls {
+	return registrar.NewCalls(taker, chosen.Direct.AnswerWithin)
+}
+
 func provideHealth(chosen settings.Settings, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher,
 	group *replica.Controller, state *directory.Directory, renewed *registrar.Renewed, logger *zap.Logger) *registrar.Health {
 	options := registrar.HealthOptions{
@@ -184,7 +189,7 @@
 		parts.Group.SetContacts(seeds)
 	})
 	runners := []*board.Runner{
-		board.NewRunner(parts.Proposer, proposerInterval, parts.Proposer.Sources()...),
+		board.NewRunner(parts.Proposer, proposerInterval, append(parts.Proposer.Sources(), parts.Node.Watch())...),
 		board.NewRunner(parts.Health, healthInterval, parts.Health.Sources()...),
 		board.NewRunner(parts.Publisher, publishInterval, append(parts.Publisher.Sources(), parts.Node.Watch())...),
 		board.NewRunner(parts.Reconfigure, reconfigureInterval),
--- /dev/null
+++ b/internal/direct/registrar/calls.go
@@ -0,0 +1,70 @@
+package registrar
+
+import (
+	"context"
+	"time"
+
+	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/faults"
+)
+
+// Calls has the registrar's methods in a form that waits for the outcome, for
+// servers that run a goroutine for each call.
+type Calls struct {
+	registrar *Registrar
+	within    time.Duration
+}
+
+// NewCalls returns calls that end within a time.
+func NewCalls(registrar *Registrar, within time.Duration) *Calls {
+	return &Calls{registrar: registrar, within: within}
+}
+
+// Register takes a target's registration or renewal.
+func (calls *Calls) Register(ctx context.Context, stated directory.Target) error {
+	return calls.wait(ctx, func(now, deadline time.Time, done func(error)) {
+		calls.registrar.Register(now, stated, deadline, done)
+	})
+}
+
+// Leave takes a target's notice that it leaves for good.
+func (calls *Calls) Leave(ctx context.Context, id directory.TargetID) error {
+	return calls.wait(ctx, func(now, deadline time.Time, done func(error)) {
+		calls.registrar.Leave(now, id, deadline, done)
+	})
+}
+
+// Declare replaces the declared configuration.
+func (calls *Calls) Declare(ctx context.Context, next *declared.Configuration) error {
+	return calls.wait(ctx, func(now, deadline time.Time, done func(error)) {
+		calls.registrar.Declare(now, next, deadline, done)
+	})
+}
+
+// Configuration returns the newest declared configuration.
+func (calls *Calls) Configuration(ctx context.Context) (*declared.Configuration, error) {
+	var held *declared.Configuration
+	err := calls.wait(ctx, func(now, deadline time.Time, done func(error)) {
+		calls.registrar.Configuration(now, deadline, func(read *declared.Configuration, err error) {
+			held = read
+			done(err)
+		})
+	})
+	if err != nil {
+		return nil, err
+	}
+	return held, nil
+}
+
+func (calls *Calls) wait(ctx context.Context, start func(now, deadline time.Time, done func(error))) error {
+	now := time.Now()
+	answers := make(chan error, 1)
+	start(now, now.Add(calls.within), func(err error) { answers <- err })
+	select {
+	case err := <-answers:
+		return err
+	case <-ctx.Done():
+		return faults.New(faults.OutcomeUnknown, "the caller left before the answer came")
+	}
+}
--- a/internal/direct/registrar/proposer.go
+++ b/internal/direct/registrar/proposer.go
@@ -1,8 +1,6 @@
 package registrar
 
 import (
-	"context"
-	"sync"
 	"time"
 
 	"merlinpaddle/internal/board"
@@ -29,37 +27,64 @@
 	// retryPause is the wait before a request is tried again that certainly
 	// was not proposed.
 	retryPause = 30 * time.Millisecond
-	// forwardedKept bounds the forwarded requests that wait for an answer.
-	forwardedKept = 4096
+	// callsKept bounds the calls that wait to be taken.
+	callsKept = 4096
 )
 
+// call is one proposal, or one read when command is nil.
+type call struct {
+	command  []byte
+	deadline time.Time
+	done     func(Reply, error)
+	// attempt numbers the tries; an outcome of an earlier one is ignored.
+	attempt uint64
+	// retryAt is when the next try is due; zero while one is under way.
+	retryAt time.Time
+	// awaited is the revision that this member must reach to answer a read.
+	awaited model.Revision
+}
+
+// outcome is the end of one try.
+type outcome struct {
+	attempt uint64
+	reply   Reply
+	err     error
+}
+
 // Proposer commits commands and confirms reads, at this member when it leads
-// and through the leader otherwise. As a controller it serves the requests
-// that other members forward.
+// and through the leader otherwise. As a controller it also serves the
+// requests that other members forward. Every call ends by its deadline.
 type Proposer struct {
 	mailbox   *protocol.Mailbox
 	proposals *board.Queue[protocol.Envelope]
 	reads     *board.Queue[protocol.Envelope]
 	replies   *board.Queue[protocol.Envelope]
+	calls     *board.Queue[*call]
+	outcomes  *board.Queue[outcome]
 	group     Group
 	directory *directory.Directory
 
-	lock    sync.Mutex
-	last    uint64
-	pending map[uint64]chan Reply
+	last uint64
+	// pending has the calls under way by their present attempt, and order
+	// their attempts in the order in which they began.
+	pending map[uint64]*call
+	order   []uint64
 }
 
-// NewProposer returns the proposer of one member.
+// NewProposer returns the proposer of one member. Attempts are numbered from
+// seed, so that replies to a former life of the process match nothing.
 func NewProposer(mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, group Group, directory *directory.Directory, seed uint64) *Proposer {
 	return &Proposer{
 		mailbox:   mailbox,
 		proposals: dispatcher.Handle(ProposeRequest{}),
 		reads:     dispatcher.Handle(ReadRequest{}),
 		replies:   dispatcher.Handle(Reply{}),
+		calls:     board.NewQueue[*call]("direct calls", callsKept),
+		outcomes:  board.NewQueue[outcome]("direct outcomes", 2*callsKept),
 		group:     group,
 		directory: directory,
 		last:      seed,
-		pending:   make(map[uint64]chan Reply),
+		pending:   make(map[uint64]*call),
 	}
 }
 
@@ -68,11 +93,64 @@
 
 // Sources returns the channels whose notices call for a Reconcile.
 func (proposer *Proposer) Sources() []<-chan struct{} {
-	return []<-chan struct{}{proposer.proposals.Watch(), proposer.reads.Watch(), proposer.replies.Watch()}
+	return []<-chan struct{}{
+		proposer.proposals.Watch(), proposer.reads.Watch(), proposer.replies.Watch(),
+		proposer.calls.Watch(), proposer.outcomes.Watch(),
+	}
+}
+
+// Propose commits command and calls done once with its result, by deadline at
+// the latest. What certainly was not proposed is tried again; an unknown
+// outcome is told as such.
+func (proposer *Proposer) Propose(command directory.Command, deadline time.Time, done func(directory.Result, error)) {
+	data, err := directory.EncodeCommand(command)
+	if err != nil {
+		done(directory.Result{}, err)
+		return
+	}
+	proposer.begin(&call{command: data, deadline: deadline, done: func(reply Reply, err error) {
+		if err != nil {
+			done(directory.Result{}, err)
+			return
+		}
+		done(directory.DecodeResult(reply.Result))
+	}})
+}
+
+// Read calls done once this member's directory has every change that was
+// committed before the call, by deadline at the latest.
+func (proposer *Proposer) Read(deadline time.Time, done func(error)) {
+	proposer.begin(&call{deadline: deadline, done: func(_ Reply, err error) { done(err) }})
+}
+
+func (proposer *Proposer) begin(begun *call) {
+	if !proposer.calls.Put(begun) {
+		begun.done(Reply{}, faults.New(faults.ProposalsFull, "%d calls wait at this member", callsKept))
+	}
 }
 
 // Reconcile implements board.Controller.
-func (proposer *Proposer) Reconcile(time.Time) {
+func (proposer *Proposer) Reconcile(now time.Time) {
+	proposer.serve()
+	for _, begun := range proposer.calls.Drain() {
+		proposer.try(now, begun)
+	}
+	for _, envelope := range proposer.replies.Drain() {
+		reply, _ := envelope.Message.(Reply)
+		ended := outcome{attempt: reply.Correlation, reply: reply}
+		if reply.Code != 0 {
+			ended.err = faults.New(reply.Code, "%s", reply.Text)
+		}
+		proposer.settle(now, ended)
+	}
+	for _, ended := range proposer.outcomes.Drain() {
+		proposer.settle(now, ended)
+	}
+	proposer.review(now)
+}
+
+// serve handles the requests of other members.
+func (proposer *Proposer) serve() {
 	for _, envelope := range proposer.proposals.Drain() {
 		asked, _ := envelope.Message.(ProposeRequest)
 		proposer.group.Submit(asked.Command, func(result []byte, err error) {
@@ -85,10 +163,6 @@
 			proposer.answer(envelope.From, asked.Correlation, nil, err)
 		})
 	}
-	for _, envelope := range proposer.replies.Drain() {
-		reply, _ := envelope.Message.(Reply)
-		proposer.settle(reply)
-	}
 }
 
 func (proposer *Proposer) answer(to model.NodeName, correlation uint64, result []byte, err error) {
@@ -100,52 +174,51 @@
 	proposer.mailbox.Send(to, reply)
 }
 
-func (proposer *Proposer) settle(reply Reply) {
-	proposer.lock.Lock()
-	defer proposer.lock.Unlock()
-	if answers, waits := proposer.pending[reply.Correlation]; waits {
-		delete(proposer.pending, reply.Correlation)
-		answers <- reply
-	}
-}
-
-// Propose commits command and returns its result. It tries again, within ctx,
-// what certainly was not proposed; an unknown outcome is returned as such.
-func (proposer *Proposer) Propose(ctx context.Context, command directory.Command) (directory.Result, error) {
-	data, err := directory.EncodeCommand(command)
-	if err != nil {
-		return directory.Result{}, err
-	}
-	reply, err := proposer.retry(ctx, func() (Reply, error) { return proposer.proposeOnce(ctx, data) })
-	if err != nil {
-		return directory.Result{}, err
+// try begins one attempt of a call, at this member or at the leader.
+func (proposer *Proposer) try(now time.Time, begun *call) {
+	proposer.last++
+	begun.attempt = proposer.last
+	begun.retryAt = time.Time{}
+	proposer.pending[begun.attempt] = begun
+	proposer.order = append(proposer.order, begun.attempt)
+	attempt := begun.attempt
+	leader := proposer.group.StatusAt(now).Leader
+	switch {
+	case leader == "":
+		proposer.settle(now, outcome{attempt: attempt, err: faults.New(faults.QuorumUnconfirmed, "this member knows no leader")})
+	case leader != proposer.mailbox.Self && begun.command != nil:
+		proposer.mailbox.Send(leader, ProposeRequest{Correlation: attempt, Command: begun.command})
+	case leader != proposer.mailbox.Self:
+		proposer.mailbox.Send(leader, ReadRequest{Correlation: attempt})
+	case begun.command != nil:
+		proposer.group.Submit(begun.command, func(result []byte, err error) {
+			proposer.outcomes.Put(outcome{attempt: attempt, reply: Reply{Result: result}, err: err})
+		})
+	default:
+		proposer.group.ReadBarrier(func(err error) {
+			proposer.outcomes.Put(outcome{attempt: attempt, err: err})
+		})
 	}
-	return directory.DecodeResult(reply.Result)
 }
 
-// Read returns once this member's directory has every change that was
-// committed before the call.
-func (proposer *Proposer) Read(ctx context.Context) error {
-	reply, err := proposer.retry(ctx, func() (Reply, error) { return proposer.readOnce(ctx) })
-	if err != nil {
-		return err
-	}
-	for proposer.directory.Revision() < reply.Revision {
-		if !pause(ctx) {
-			return faults.New(faults.LeadershipUnconfirmed, "this member has not caught up with the leader in time")
-		}
+// settle ends an attempt: the call ends, or waits to be tried again, or waits
+// for this member's state.
+func (proposer *Proposer) settle(now time.Time, ended outcome) {
+	waiting, exists := proposer.pending[ended.attempt]
+	switch {
+	case !exists || !waiting.retryAt.IsZero():
+	case ended.err != nil && unproposed(ended.err):
+		waiting.retryAt = now.Add(retryPause)
+	case ended.err == nil && waiting.command == nil && proposer.directory.Revision() < ended.reply.Revision:
+		waiting.awaited = ended.reply.Revision
+	default:
+		proposer.finish(waiting, ended.reply, ended.err)
 	}
-	return nil
 }
 
-// retry repeats attempts that changed nothing.
-func (proposer *Proposer) retry(ctx context.Context, attempt func() (Reply, error)) (Reply, error) {
-	for {
-		reply, err := attempt()
-		if err == nil || !unproposed(err) || !pause(ctx) {
-			return reply, err
-		}
-	}
+func (proposer *Proposer) finish(ended *call, reply Reply, err error) {
+	delete(proposer.pending, ended.attempt)
+	ended.done(reply, err)
 }
 
 func unproposed(err error) bool {
@@ -157,106 +230,37 @@
 	}
 }
 
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
-func (proposer *Proposer) proposeOnce(ctx context.Context, command []byte) (Reply, error) {
-	leader, local, err := proposer.leader()
-	switch {
-	case err != nil:
-		return Reply{}, err
-	case !local:
-		return proposer.forward(ctx, leader, func(correlation uint64) any {
-			return ProposeRequest{Correlation: correlation, Command: command}
-		})
-	}
-	return wait(ctx, func(done func(Reply, error)) {
-		proposer.group.Submit(command, func(result []byte, err error) { done(Reply{Result: result}, err) })
-	})
-}
-
-func (proposer *Proposer) readOnce(ctx context.Context) (Reply, error) {
-	leader, local, err := proposer.leader()
-	switch {
-	case err != nil:
-		return Reply{}, err
-	case !local:
-		return proposer.forward(ctx, leader, func(correlation uint64) any {
-			return ReadRequest{Correlation: correlation}
-		})
-	}
-	return wait(ctx, func(done func(Reply, error)) {
-		proposer.group.ReadBarrier(func(err error) { done(Reply{}, err) })
-	})
-}
-
-// leader returns who leads now and whether it is this member.
-func (proposer *Proposer) leader() (model.NodeName, bool, error) {
-	status := proposer.group.StatusAt(time.Now())
-	if status.Leader == "" {
-		return "", false, faults.New(faults.QuorumUnconfirmed, "this member knows no leader")
-	}
-	return status.Leader, status.Leader == proposer.mailbox.Self, nil
-}
-
-// forward sends a request to the leader and waits for its reply.
-func (proposer *Proposer) forward(ctx context.Context, leader model.NodeName, message func(correlation uint64) any) (Reply, error) {
-	answers := make(chan Reply, 1)
-	correlation, err := proposer.enlist(answers)
-	if err != nil {
-		return Reply{}, err
-	}
-	defer proposer.dismiss(correlation)
-	proposer.mailbox.Send(leader, message(correlation))
-	select {
-	case reply := <-answers:
-		if reply.Code != 0 {
-			return Reply{}, faults.New(reply.Code, "%s", reply.Text)
+// review ends calls whose time is over and continues those that wait.
+func (proposer *Proposer) review(now time.Time) {
+	order := proposer.order
+	proposer.order = nil
+	for _, attempt := range order {
+		waiting, exists := proposer.pending[attempt]
+		if !exists {
+			continue
+		}
+		switch {
+		case !now.Before(waiting.deadline):
+			proposer.finish(waiting, Reply{}, overdue(waiting))
+		case waiting.awaited > 0 && proposer.directory.Revision() >= waiting.awaited:
+			proposer.finish(waiting, Reply{}, nil)
+		case !waiting.retryAt.IsZero() && !now.Before(waiting.retryAt):
+			delete(proposer.pending, attempt)
+			proposer.try(now, waiting)
+		default:
+			proposer.order = append(proposer.order, attempt)
 		}
-		return reply, nil
-	case <-ctx.Done():
-		return Reply{}, faults.New(faults.ForwardTimeout, "leader %s did not answer in time", leader)
-	}
-}
-
-func (proposer *Proposer) enlist(answers chan Reply) (uint64, error) {
-	proposer.lock.Lock()
-	defer proposer.lock.Unlock()
-	if len(proposer.pending) >= forwardedKept {
-		return 0, faults.New(faults.ProposalsFull, "%d requests wait for the leader", len(proposer.pending))
 	}
-	proposer.last++
-	proposer.pending[proposer.last] = answers
-	return proposer.last, nil
-}
-
-func (proposer *Proposer) dismiss(correlation uint64) {
-	proposer.lock.Lock()
-	defer proposer.lock.Unlock()
-	delete(proposer.pending, correlation)
-}
-
-// answerOrError is the outcome of a local request.
-type answerOrError struct {
-	reply Reply
-	err   error
 }
 
-func wait(ctx context.Context, start func(done func(Reply, error))) (Reply, error) {
-	answers := make(chan answerOrError, 1)
-	start(func(reply Reply, err error) { answers <- answerOrError{reply, err} })
-	select {
-	case answer := <-answers:
-		return answer.reply, answer.err
-	case <-ctx.Done():
-		return Reply{}, faults.New(faults.OutcomeUnknown, "the caller's time ended before the answer came")
+// overdue is the error of a call whose time is over.
+func overdue(waiting *call) error {
+	switch {
+	case waiting.command == nil:
+		return faults.New(faults.LeadershipUnconfirmed, "the read was not confirmed in time")
+	case !waiting.retryAt.IsZero():
+		return faults.New(faults.QuorumUnconfirmed, "no leader took the change in time; it was not proposed")
+	default:
+		return faults.New(faults.ForwardTimeout, "the leader did not answer in time")
 	}
 }
--- a/internal/direct/registrar/registrar.go
+++ b/internal/direct/registrar/registrar.go
@@ -1,7 +1,6 @@
 package registrar
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,7 +20,9 @@
 	freshFor = 800 * time.Millisecond
 )
 
-// Registrar takes registrations and declarations at one member.
+// Registrar takes registrations and declarations at one member. Its methods
+// return at once and call done once, by the deadline at the latest; Calls has
+// them in a form that waits.
 type Registrar struct {
 	directory *directory.Directory
 	proposer  *Proposer
@@ -45,10 +46,6 @@
 	return board.NewTable[directory.TargetID, time.Time]("renewals", board.HashNumber[directory.TargetID])
 }
 
-// Fresh tells whether the member leads with a confirmed quorum, or has just
-// heard from a leader.
-func (registrar *Registrar) Fresh(now time.Time) bool { return Fresh(registrar.group, now) }
-
 // Fresh tells whether the group's member leads with a confirmed quorum, or has
 // just heard from a leader.
 func Fresh(group Group, now time.Time) bool {
@@ -59,37 +56,42 @@
 	return !status.LeaderHeardAt.IsZero() && now.Sub(status.LeaderHeardAt) < freshFor
 }
 
-func (registrar *Registrar) demandQuorum() error {
-	if !registrar.Fresh(time.Now()) {
+func (registrar *Registrar) demandQuorum(now time.Time) error {
+	if !Fresh(registrar.group, now) {
 		return faults.New(faults.QuorumUnconfirmed, "this member has not heard from a leader for %s", freshFor)
 	}
 	return nil
 }
 
-// Register takes a target's registration or renewal. It returns once what it
+// Register takes a target's registration or renewal. It is done once what it
 // changed is durable on a majority; a renewal that changes nothing is not
 // committed.
-func (registrar *Registrar) Register(ctx context.Context, stated directory.Target) error {
+func (registrar *Registrar) Register(now time.Time, stated directory.Target, deadline time.Time, done func(error)) {
 	if err := checkTarget(stated); err != nil {
-		return err
+		done(err)
+		return
 	}
-	if err := registrar.demandQuorum(); err != nil {
-		return err
+	if err := registrar.demandQuorum(now); err != nil {
+		done(err)
+		return
 	}
-	registrar.renewals.Put(stated.ID, time.Now())
+	registrar.renewals.Put(stated.ID, now)
 	if known, exists := registrar.directory.Target(stated.ID); exists && isRenewal(known, stated) {
-		return nil
+		done(nil)
+		return
 	}
-	result, err := registrar.proposer.Propose(ctx, directory.Command{Register: &directory.Registration{Target: stated}})
-	registrar.logger.Info("target registered",
-		zap.Uint64("target", uint64(stated.ID)),
-		zap.String("service", stated.Service),
-		zap.Stringer("address", stated.Address),
-		zap.Stringer("state", stated.State),
-		zap.Uint64("sequence", stated.Sequence),
-		zap.Uint32("token", uint32(result.Token)),
-		zap.Error(err))
-	return err
+	command := directory.Command{Register: &directory.Registration{Target: stated}}
+	registrar.proposer.Propose(command, deadline, func(result directory.Result, err error) {
+		registrar.logger.Info("target registered",
+			zap.Uint64("target", uint64(stated.ID)),
+			zap.String("service", stated.Service),
+			zap.Stringer("address", stated.Address),
+			zap.Stringer("state", stated.State),
+			zap.Uint64("sequence", stated.Sequence),
+			zap.Uint32("token", uint32(result.Token)),
+			zap.Error(err))
+		done(err)
+	})
 }
 
 // isRenewal tells whether a registration changes nothing that must be durable.
@@ -117,34 +119,47 @@
 }
 
 // Leave takes a target's notice that it leaves for good.
-func (registrar *Registrar) Leave(ctx context.Context, id directory.TargetID) error {
+func (registrar *Registrar) Leave(now time.Time, id directory.TargetID, deadline time.Time, done func(error)) {
 	if id == 0 {
-		return faults.New(faults.RegistrationInvalid, "id: is missing")
+		done(faults.New(faults.RegistrationInvalid, "id: is missing"))
+		return
 	}
-	if err := registrar.demandQuorum(); err != nil {
-		return err
+	if err := registrar.demandQuorum(now); err != nil {
+		done(err)
+		return
 	}
-	_, err := registrar.proposer.Propose(ctx, directory.Command{Leave: &directory.Departure{ID: id}})
-	registrar.logger.Info("target leaves", zap.Uint64("target", uint64(id)), zap.Error(err))
-	return err
+	command := directory.Command{Leave: &directory.Departure{ID: id}}
+	registrar.proposer.Propose(command, deadline, func(_ directory.Result, err error) {
+		registrar.logger.Info("target leaves", zap.Uint64("target", uint64(id)), zap.Error(err))
+		done(err)
+	})
 }
 
-// Declare replaces the declared configuration. It returns once the version,
-// or a higher one, is durable on a majority. An older or equal version changes
+// Declare replaces the declared configuration. It is done once the version, or
+// a higher one, is durable on a majority. An older or equal version changes
 // nothing.
-func (registrar *Registrar) Declare(ctx context.Context, next *declared.Configuration) error {
+func (registrar *Registrar) Declare(now time.Time, next *declared.Configuration, deadline time.Time, done func(error)) {
 	if err := next.Validate(); err != nil {
-		return err
+		done(err)
+		return
 	}
-	if err := registrar.demandQuorum(); err != nil {
-		return err
+	if err := registrar.demandQuorum(now); err != nil {
+		done(err)
+		return
 	}
-	for range declareAttempts {
-		difference := declared.Compare(registrar.directory.Configuration(), next)
-		result, err := registrar.proposer.Propose(ctx, directory.Command{Declare: &difference})
-		if err != nil {
-			return err
-		}
+	registrar.declare(next, deadline, declareAttempts, done)
+}
+
+// declare proposes the difference to what this member holds. When another
+// declaration came first, it compares anew.
+func (registrar *Registrar) declare(next *declared.Configuration, deadline time.Time, attempts int, done func(error)) {
+	if attempts == 0 {
+		done(faults.New(faults.ProposalsFull, "other declarations came first %d times; nothing was changed", declareAttempts))
+		return
+	}
+	difference := declared.Compare(registrar.directory.Configuration(), next)
+	command := directory.Command{Declare: &difference}
+	registrar.proposer.Propose(command, deadline, func(result directory.Result, err error) {
 		registrar.logger.Info("configuration declared",
 			zap.Uint64("version", next.Version),
 			zap.Uint64("base", difference.Base),
@@ -152,25 +167,34 @@
 			zap.Int("routes", len(next.Routes)),
 			zap.Int("changed", len(difference.Routes)),
 			zap.Int("removed", len(difference.Removed)),
-			zap.Bool("conflict", result.Conflict))
-		if !result.Conflict {
-			return nil
-		}
-		if err := registrar.proposer.Read(ctx); err != nil {
-			return err
+			zap.Bool("conflict", result.Conflict),
+			zap.Error(err))
+		if err != nil || !result.Conflict {
+			done(err)
+			return
 		}
-	}
-	return faults.New(faults.ProposalsFull, "other declarations came first %d times; nothing was changed", declareAttempts)
+		registrar.proposer.Read(deadline, func(err error) {
+			if err != nil {
+				done(err)
+				return
+			}
+			registrar.declare(next, deadline, attempts-1, done)
+		})
+	})
 }
 
-// Configuration returns the newest declared configuration, confirmed by a
+// Configuration reads the newest declared configuration, confirmed by a
 // quorum.
-func (registrar *Registrar) Configuration(ctx context.Context) (*declared.Configuration, error) {
-	if err := registrar.demandQuorum(); err != nil {
-		return nil, err
+func (registrar *Registrar) Configuration(now time.Time, deadline time.Time, done func(*declared.Configuration, error)) {
+	if err := registrar.demandQuorum(now); err != nil {
+		done(nil, err)
+		return
 	}
-	if err := registrar.proposer.Read(ctx); err != nil {
-		return nil, err
-	}
-	return registrar.directory.Configuration(), nil
+	registrar.proposer.Read(deadline, func(err error) {
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		done(registrar.directory.Configuration(), nil)
+	})
 }
