--- a/internal/direct/probe/probe.go
+++ b/internal/direct/probe/probe.go
@@ -80,16 +80,27 @@
 	// Results has the outcomes.
 	Results *board.Queue[Result]
 
-	dial    Dial
+	start   Starter
 	lock    sync.Mutex
 	running map[uint64]bool
 }
 
-// New returns a prober that probes with dial.
+// Starter begins one probe of an address and returns at once; done is called
+// once with the outcome.
+type Starter func(address netip.AddrPort, done func(Outcome))
+
+// New returns a prober that probes with dial, each probe on a goroutine.
 func New(dial Dial) *Prober {
+	return NewWith(func(address netip.AddrPort, done func(Outcome)) {
+		go func() { done(attempt(dial, address)) }()
+	})
+}
+
+// NewWith returns a prober whose probes are begun by start.
+func NewWith(start Starter) *Prober {
 	return &Prober{
 		Results: board.NewQueue[Result]("probe results", resultsKept),
-		dial:    dial,
+		start:   start,
 		running: make(map[uint64]bool),
 	}
 }
@@ -97,30 +108,41 @@
 // Start probes address and puts the outcome into Results. A second probe of
 // the same key at the same time is left out.
 func (prober *Prober) Start(key uint64, address netip.AddrPort) {
+	if !prober.occupy(key) {
+		return
+	}
+	prober.start(address, func(outcome Outcome) {
+		prober.lock.Lock()
+		delete(prober.running, key)
+		prober.lock.Unlock()
+		prober.Results.Put(Result{Key: key, Outcome: outcome})
+	})
+}
+
+// occupy notes that a probe of key runs; false when one does already, or too
+// many do.
+func (prober *Prober) occupy(key uint64) bool {
 	prober.lock.Lock()
 	defer prober.lock.Unlock()
 	if prober.running[key] || len(prober.running) >= concurrent {
-		return
+		return false
 	}
 	prober.running[key] = true
-	go prober.run(key, address)
+	return true
 }
 
-func (prober *Prober) run(key uint64, address netip.AddrPort) {
+func attempt(dial Dial, address netip.AddrPort) Outcome {
 	outcome := Silent
-	for attempt := 0; attempt < attempts && outcome == Silent; attempt++ {
-		outcome = prober.dialOnce(address)
+	for count := 0; count < attempts && outcome == Silent; count++ {
+		outcome = dialOnce(dial, address)
 	}
-	prober.lock.Lock()
-	delete(prober.running, key)
-	prober.lock.Unlock()
-	prober.Results.Put(Result{Key: key, Outcome: outcome})
+	return outcome
 }
 
-func (prober *Prober) dialOnce(address netip.AddrPort) Outcome {
+func dialOnce(dial Dial, address netip.AddrPort) Outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	return classify(prober.dial(ctx, address))
+	return classify(dial(ctx, address))
 }
 
 func classify(err error) Outcome {
--- a/internal/direct/registrar/registrar.go
+++ b/internal/direct/registrar/registrar.go
@@ -47,13 +47,14 @@
 }
 
 // Fresh tells whether the group's member leads with a confirmed quorum, or has
-// just heard from a leader.
+// lately held everything that its leader had committed. A follower whose disk
+// takes nothing, or whose answers are lost, hears its leader and falls behind.
 func Fresh(group Group, now time.Time) bool {
 	status := group.StatusAt(now)
 	if status.Leading {
 		return true
 	}
-	return !status.LeaderHeardAt.IsZero() && now.Sub(status.LeaderHeardAt) < freshFor
+	return !status.CurrentAt.IsZero() && now.Sub(status.CurrentAt) < freshFor
 }
 
 func (registrar *Registrar) demandQuorum(now time.Time) error {
--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -71,15 +71,36 @@
 	if !raft.takeCommit(message) {
 		return
 	}
+	raft.noteLeaderCommit(message.LeaderCommit)
 	if message.ConfirmedAt != 0 {
 		raft.toldConfirmedAt = time.Unix(0, message.ConfirmedAt)
 	}
 	raft.send(Message{Kind: MessageHeartbeatReply, To: message.From, Round: message.Round})
 }
 
+// noteLeaderCommit remembers how far the leader has committed. While the log
+// has not reached an earlier such index, a later one does not replace it: under
+// a stream of changes the follower is always a little behind the latest.
+func (raft *Raft) noteLeaderCommit(index uint64) {
+	if raft.toldCommit == 0 {
+		raft.toldCommit = index
+		raft.toldCommitAt = raft.now
+	}
+	raft.noteReached()
+}
+
+// noteReached notes that the log reached the commit index that the leader told.
+func (raft *Raft) noteReached() {
+	if raft.toldCommit != 0 && raft.log.committed >= raft.toldCommit {
+		raft.currentAt = raft.toldCommitAt
+		raft.toldCommit = 0
+	}
+}
+
 // commitTo raises the commit index and settles the configurations below it.
 func (raft *Raft) commitTo(index uint64) {
 	raft.log.commitTo(index)
+	raft.noteReached()
 	for len(raft.configurations) > 1 && raft.configurations[1].index <= raft.log.committed {
 		raft.configurations = raft.configurations[1:]
 	}
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -87,11 +87,13 @@
 		commit := min(progress.Match, raft.log.committed)
 		progress.toldCommit = max(progress.toldCommit, commit)
 		raft.send(Message{
-			Kind:        MessageHeartbeat,
-			To:          member.ID,
-			Round:       raft.round,
-			Commit:      commit,
-			ConfirmedAt: unixNano(raft.confirmedAt),
+			Kind:   MessageHeartbeat,
+			To:     member.ID,
+			Round:  raft.round,
+			Commit: commit,
+
+			LeaderCommit: raft.log.committed,
+			ConfirmedAt:  unixNano(raft.confirmedAt),
 		})
 	}
 	raft.confirmRounds()
--- a/internal/raft/message.go
+++ b/internal/raft/message.go
@@ -52,6 +52,9 @@
 	HintTerm  uint64
 	// Round is the number of the leader's heartbeat round.
 	Round uint64
+	// LeaderCommit is the leader's own commit index in a heartbeat. Commit is
+	// limited to what the receiver acknowledged, so it may be lower.
+	LeaderCommit uint64
 	// ConfirmedAt is when a quorum last confirmed the leader, in nanoseconds
 	// since 1970 on the leader's clock.
 	ConfirmedAt int64
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -124,6 +124,13 @@
 	now              time.Time
 	electionDeadline time.Time
 	leaderHeardAt    time.Time
+	// toldCommit is the leader's commit index as of toldCommitAt, which this
+	// follower's log has not reached yet; zero when it has.
+	toldCommit   uint64
+	toldCommitAt time.Time
+	// currentAt is when the leader last told a commit index that this follower
+	// has reached since.
+	currentAt time.Time
 	// toldConfirmedAt is the latest confirmation that a leader told.
 	toldConfirmedAt time.Time
 	votes           map[MemberID]bool
@@ -374,6 +381,7 @@
 	}
 	raft.role = Follower
 	raft.leader = leader
+	raft.toldCommit = 0
 	raft.votes = nil
 	raft.clearLeadership()
 	raft.resetElectionDeadline()
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -103,9 +103,11 @@
 	Configuration Configuration
 	// SnapshotIndex is the index of the latest snapshot.
 	SnapshotIndex uint64
-	// LeaderHeardAt is when this member last heard from its leader; zero on
-	// the leader itself.
-	LeaderHeardAt time.Time
+	// CurrentAt is the latest time at which the leader told this follower its
+	// commit index and the follower reached that index afterwards; zero on the
+	// leader itself and without one. It tells how old the follower's state can
+	// be.
+	CurrentAt time.Time
 	// LeaderSince is when this member became leader; zero on others.
 	LeaderSince time.Time
 	// Peers is what the leader knows of every member; nil on others.
@@ -139,7 +141,7 @@
 		SnapshotIndex: raft.snapshot.Index,
 	}
 	if raft.role != Leader && raft.leader != 0 {
-		status.LeaderHeardAt = raft.leaderHeardAt
+		status.CurrentAt = raft.currentAt
 	}
 	if raft.role == Leader {
 		status.LeaderSince = raft.leaderSince
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -49,9 +49,10 @@
 	Members []Member
 	// Log counts what this member wrote to its log since it started.
 	Log wal.Work
-	// LeaderHeardAt is when this member last heard from the leader that it
-	// follows; zero on the leader and without one.
-	LeaderHeardAt time.Time
+	// CurrentAt is the latest time at which the leader told this follower its
+	// commit index and the follower reached that index afterwards; zero on the
+	// leader and without one.
+	CurrentAt time.Time
 	// LeaderSince is when this member became leader; zero on others.
 	LeaderSince time.Time
 	// Peers is what a leader knows of every member; nil on others.
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -25,18 +25,18 @@
 		core := controller.core.Status(now)
 		published.leading = core.Role == raft.Leader && !controller.stopped.Load()
 		published.status = Status{
-			Self:          core.ID,
-			Term:          core.Term,
-			Leader:        controller.leaderName(),
-			Committed:     model.Revision(core.Committed),
-			Applied:       model.Revision(core.Applied),
-			ConfirmedAt:   core.ConfirmedAt,
-			Members:       core.Configuration.Members,
-			Log:           controller.storage.log.Work(),
-			LeaderHeardAt: core.LeaderHeardAt,
-			LeaderSince:   core.LeaderSince,
-			Peers:         core.Peers,
-			Candidates:    controller.recentCandidates(now),
+			Self:        core.ID,
+			Term:        core.Term,
+			Leader:      controller.leaderName(),
+			Committed:   model.Revision(core.Committed),
+			Applied:     model.Revision(core.Applied),
+			ConfirmedAt: core.ConfirmedAt,
+			Members:     core.Configuration.Members,
+			Log:         controller.storage.log.Work(),
+			CurrentAt:   core.CurrentAt,
+			LeaderSince: core.LeaderSince,
+			Peers:       core.Peers,
+			Candidates:  controller.recentCandidates(now),
 		}
 	}
 	controller.statusLock.Lock()
--- /dev/null
+++ b/internal/sim/directworld/balancer.go
@@ -0,0 +1,94 @@
+package directworld
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinpaddle/internal/board"
+	"merlinpaddle/internal/direct/feed"
+	"merlinpaddle/internal/direct/forwarder"
+	"merlinpaddle/internal/direct/steer"
+	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/protocol"
+	"merlinpaddle/internal/sim/kernel"
+)
+
+// balancerInterval is how often a simulated balancer's controllers run without
+// a message.
+const balancerInterval = 40 * time.Millisecond
+
+// balancer is one balancer on a simulated process.
+type balancer struct {
+	world    *World
+	process  *kernel.Process
+	table    *steer.Table
+	suspects *forwarder.Suspects
+	// startedAt is when the present life began.
+	startedAt time.Time
+}
+
+func newBalancer(world *World, name string, zone model.ZoneName) *balancer {
+	created := &balancer{world: world}
+	created.process = world.host.Add(endpoint(name, zone), balancerInterval, created.build)
+	created.process.After(func(time.Time) { world.checks.balancerRan(created) })
+	return created
+}
+
+// noConnector stands for connections, which the simulated network always has.
+type noConnector struct{}
+
+// Connect implements feed.Connector.
+func (noConnector) Connect(model.NodeName) {}
+
+// Disconnect implements feed.Connector.
+func (noConnector) Disconnect(model.NodeName) {}
+
+func (balancer *balancer) build(mailbox *protocol.Mailbox, _ model.Incarnation) kernel.Program {
+	dispatcher := protocol.NewDispatcher(mailbox)
+	balancer.startedAt = balancer.world.Now()
+	balancer.table = steer.NewTable(steer.DefaultOptions())
+	subscriber := feed.NewSubscriber(mailbox, dispatcher, balancer.table, noConnector{}, balancer.world.seeds(), nil)
+	balancer.suspects = forwarder.NewSuspects(balancer.table, balancer.world.prober(balancer.process), mailbox, subscriber.Following, zap.NewNop())
+	return kernel.Program{
+		Mailbox:     mailbox,
+		Controllers: []board.Controller{dispatcher, subscriber, balancer.suspects},
+	}
+}
+
+// route returns a balancer for one packet: any active one that has a table.
+func (world *World) route() *balancer {
+	var active []*balancer
+	for _, candidate := range world.balancers {
+		if candidate.process.Active() && candidate.table.Serving() {
+			active = append(active, candidate)
+		}
+	}
+	if len(active) == 0 {
+		return nil
+	}
+	return kernel.Pick(world.random, active)
+}
+
+// carry handles a caller's packet at the balancer.
+func (balancer *balancer) carry(packet packet) {
+	world := balancer.world
+	if !balancer.process.Active() {
+		return
+	}
+	now := balancer.process.LocalNow()
+	decision := world.options.Parts.Decide(balancer.table, packet.segment(), now)
+	world.checks.decided(balancer, packet, decision)
+	if decision.Suspect != 0 {
+		balancer.suspects.Note(decision.Suspect)
+		balancer.process.Wake()
+	}
+	switch decision.Action {
+	case steer.Forward:
+		world.deliver(balancer, packet, decision)
+	case steer.Reset:
+		world.packets.Send(balancer.process.Endpoint, packet.flow.endpoint(), func() {
+			packet.flow.reset(balancer)
+		})
+	}
+}
--- /dev/null
+++ b/internal/sim/directworld/caller.go
@@ -0,0 +1,174 @@
+package directworld
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/steer"
+	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/sim/kernel"
+)
+
+var errNoAnswer = errors.New("no answer came in time")
+
+const (
+	// flowsPerSecond is the rate at which flows are opened.
+	flowsPerSecond = 25
+	// dataInterval is the time between two packets of an open flow.
+	dataInterval = 250 * time.Millisecond
+	// openTimeout is how long a caller waits for a flow to open.
+	openTimeout = 1400 * time.Millisecond
+)
+
+// copiesAt are the times at which copies of an opening packet are sent.
+var copiesAt = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// packet is one packet of a caller.
+type packet struct {
+	flow    *flow
+	opening bool
+	attempt int
+	token   directory.Token
+}
+
+func (packet packet) segment() steer.Segment {
+	return steer.Segment{
+		Caller:  packet.flow.caller,
+		Service: packet.flow.service,
+		Token:   packet.token,
+		Opening: packet.opening,
+		Attempt: packet.attempt,
+	}
+}
+
+// flow is one flow of a caller.
+type flow struct {
+	world   *World
+	caller  netip.AddrPort
+	service netip.AddrPort
+	zone    model.ZoneName
+	begunAt time.Time
+	endsAt  time.Time
+	target  *target
+	token   directory.Token
+	// lost tells that the target forgot the flow when it died.
+	lost       bool
+	ended      bool
+	openedAt   time.Time
+	answeredAt time.Time
+}
+
+func (flow *flow) endpoint() kernel.Endpoint { return endpoint(flow.caller.String(), flow.zone) }
+
+// callers opens flows at a rate and keeps them for a while.
+type callers struct {
+	world  *World
+	random *kernel.Random
+	next   int
+	// opened and failed count flows that began while the world was calm.
+	opened int
+	failed int
+}
+
+func newCallers(world *World) *callers {
+	return &callers{world: world, random: world.run.Random("callers")}
+}
+
+func (callers *callers) start() {
+	callers.world.after(callers.random.Exponential(time.Second/flowsPerSecond), func() {
+		callers.open()
+		callers.start()
+	})
+}
+
+func (callers *callers) open() {
+	world := callers.world
+	callers.next++
+	service := routeFeed
+	if callers.random.Chance(0.25) {
+		service = routeLedger
+	}
+	opened := &flow{
+		world:   world,
+		caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(callers.next >> 16), byte(callers.next >> 8)}), uint16(1024+callers.next%60000)),
+		service: service,
+		zone:    zones[callers.next%len(zones)],
+		begunAt: world.Now(),
+		endsAt:  world.Now().Add(callers.random.Pareto(time.Second, 25*time.Second, 1.1)),
+	}
+	for attempt, at := range copiesAt {
+		world.after(at, func() {
+			if opened.target == nil && !opened.ended {
+				opened.send(packet{flow: opened, opening: true, attempt: attempt})
+			}
+		})
+	}
+	calm := world.calm()
+	world.after(openTimeout, func() { callers.note(opened, calm) })
+}
+
+// note counts how opening ended for flows that began in calm.
+func (callers *callers) note(opened *flow, calm bool) {
+	if opened.target == nil {
+		opened.ended = true
+	}
+	switch {
+	case !calm || !callers.world.calm():
+	case opened.openedAt.IsZero():
+		callers.failed++
+	default:
+		callers.opened++
+	}
+}
+
+func (flow *flow) send(packet packet) {
+	through := flow.world.route()
+	if through == nil {
+		return
+	}
+	flow.world.packets.Send(flow.endpoint(), through.process.Endpoint, func() { through.carry(packet) })
+}
+
+// accepted opens the flow at the first target that took it.
+func (flow *flow) accepted(target *target, token directory.Token) {
+	if flow.target != nil || flow.ended {
+		return
+	}
+	flow.target = target
+	flow.token = token
+	flow.openedAt = flow.world.Now()
+	flow.data()
+}
+
+// data sends one packet of the open flow and plans the next one.
+func (flow *flow) data() {
+	if flow.ended {
+		return
+	}
+	if flow.world.Now().After(flow.endsAt) {
+		flow.end()
+		return
+	}
+	flow.send(packet{flow: flow, token: flow.token})
+	flow.world.after(dataInterval, flow.data)
+}
+
+func (flow *flow) end() {
+	flow.ended = true
+	if flow.target != nil {
+		delete(flow.target.flows, flow)
+	}
+}
+
+// reset ends the flow because a balancer said so.
+func (flow *flow) reset(by *balancer) {
+	if flow.ended {
+		return
+	}
+	if flow.target != nil {
+		flow.world.checks.wasReset(flow, by)
+	}
+	flow.end()
+}
--- /dev/null
+++ b/internal/sim/directworld/checks.go
@@ -0,0 +1,240 @@
+package directworld
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"merlinpaddle/internal/checker"
+	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/steer"
+	"merlinpaddle/internal/model"
+)
+
+const (
+	// drainBound is how long after an acknowledged drain a target may get new
+	// flows.
+	drainBound = 3 * time.Second
+	// applyBound is how long after its acknowledgement a version may not be in
+	// force.
+	applyBound = 3 * time.Second
+)
+
+// checks are the rules of direct services, judged from what callers, targets
+// and operators see.
+type checks struct {
+	world *World
+	// contents has the texts that were sent under each version.
+	contents            map[uint64]map[string]bool
+	readContents        map[uint64]string
+	highestAcknowledged uint64
+	// acknowledgedAt has when each version was first acknowledged.
+	acknowledgedAt map[uint64]time.Time
+	// allowed has the services that some configuration ever gave a route.
+	allowed map[netip.AddrPort]map[string]bool
+	leaders map[uint64]string
+	// versions has the version of each balancer's present life.
+	versions map[*balancer]lifeVersion
+	reads    int
+}
+
+// lifeVersion is the version that a balancer had in one life.
+type lifeVersion struct {
+	incarnation model.Incarnation
+	version     uint64
+}
+
+func newChecks(world *World) *checks {
+	return &checks{
+		world:          world,
+		contents:       make(map[uint64]map[string]bool),
+		readContents:   make(map[uint64]string),
+		acknowledgedAt: make(map[uint64]time.Time),
+		allowed:        make(map[netip.AddrPort]map[string]bool),
+		leaders:        make(map[uint64]string),
+		versions:       make(map[*balancer]lifeVersion),
+	}
+}
+
+func (checks *checks) violate(invariant checker.Invariant, format string, arguments ...any) {
+	checks.world.run.Report.Add(invariant, checks.world.run.Elapsed(), format, arguments...)
+}
+
+// textOf returns the content of a configuration for comparison.
+func textOf(configuration *declared.Configuration) string { return fmt.Sprintf("%+v", *configuration) }
+
+func (checks *checks) sent(configuration *declared.Configuration) {
+	if checks.contents[configuration.Version] == nil {
+		checks.contents[configuration.Version] = make(map[string]bool)
+	}
+	checks.contents[configuration.Version][textOf(configuration)] = true
+	for _, route := range configuration.Routes {
+		if checks.allowed[route.Address] == nil {
+			checks.allowed[route.Address] = make(map[string]bool)
+		}
+		for _, part := range route.Pool {
+			checks.allowed[route.Address][part.Service] = true
+		}
+	}
+}
+
+func (checks *checks) acknowledged(version uint64) {
+	if _, known := checks.acknowledgedAt[version]; !known {
+		checks.acknowledgedAt[version] = checks.world.Now()
+	}
+	checks.highestAcknowledged = max(checks.highestAcknowledged, version)
+}
+
+func (checks *checks) invalidTaken(configuration *declared.Configuration) {
+	checks.violate(checker.InvariantCommittedKept, "the invalid version %d was acknowledged", configuration.Version)
+}
+
+// read judges a read that was sent when expected was acknowledged.
+func (checks *checks) read(expected uint64, held *declared.Configuration) {
+	checks.reads++
+	if held.Version < expected {
+		checks.violate(checker.InvariantLinearizable, "a read returned version %d after version %d was acknowledged", held.Version, expected)
+	}
+	if held.Version == 0 {
+		return
+	}
+	text := textOf(held)
+	if !checks.contents[held.Version][text] {
+		checks.violate(checker.InvariantSameConfiguration, "version %d was read with a content that nobody sent", held.Version)
+	}
+	if former, known := checks.readContents[held.Version]; known && former != text {
+		checks.violate(checker.InvariantSameConfiguration, "version %d was read with two contents", held.Version)
+	}
+	checks.readContents[held.Version] = text
+}
+
+func (checks *checks) leader(term uint64, name string) {
+	if former, known := checks.leaders[term]; known && former != name {
+		checks.violate(checker.InvariantOneLeader, "%s and %s both lead term %d", former, name, term)
+	}
+	checks.leaders[term] = name
+}
+
+func (checks *checks) storageRefused(member *Member, err error) {
+	checks.violate(checker.InvariantCommittedKept, "member %s does not start from its disk: %v", member.process.Name, err)
+}
+
+// balancerRan demands that a balancer's table never goes back within a life.
+func (checks *checks) balancerRan(balancer *balancer) {
+	version := balancer.table.Version()
+	incarnation := balancer.process.Incarnation()
+	former := checks.versions[balancer]
+	if former.incarnation == incarnation && version < former.version {
+		checks.violate(checker.InvariantNoRevert, "%s went back from version %d to %d", balancer.process.Name, former.version, version)
+	}
+	checks.versions[balancer] = lifeVersion{incarnation: incarnation, version: version}
+}
+
+// decided judges a decision of a balancer by what it may know.
+func (checks *checks) decided(balancer *balancer, packet packet, decision steer.Decision) {
+	world := checks.world
+	if decision.Action == steer.Reset && decision.Reason == steer.ReasonNoRoute {
+		checks.violate(checker.InvariantInForce, "%s refused a packet to %s, which every version has", balancer.process.Name, packet.flow.service)
+	}
+	if !world.calm() || !packet.opening || world.Now().Sub(balancer.startedAt) < settleTime {
+		return
+	}
+	version := balancer.table.Version()
+	for acknowledged, at := range checks.acknowledgedAt {
+		if acknowledged > version && world.Now().Sub(at) > applyBound {
+			checks.violate(checker.InvariantInForce, "%s decides by version %d, %s after version %d was acknowledged",
+				balancer.process.Name, version, world.Now().Sub(at), acknowledged)
+			return
+		}
+	}
+}
+
+// opened judges a target that takes a new flow.
+func (checks *checks) opened(through *balancer, target *target, packet packet) {
+	world := checks.world
+	if !checks.allowed[packet.flow.service][target.service] {
+		checks.violate(checker.InvariantServiceIsolation, "a flow to %s reached service %s", packet.flow.service, target.service)
+	}
+	late := !target.leavingAckedAt.IsZero() && world.Now().Sub(target.leavingAckedAt) > drainBound
+	if late && world.calm() {
+		checks.violate(checker.InvariantDrain, "%s sent a new flow to %s, which drains since %s",
+			through.process.Name, target.address, world.Now().Sub(target.leavingAckedAt))
+	}
+}
+
+// foreignPacket judges a packet of an open flow at a target that does not own
+// it.
+func (checks *checks) foreignPacket(target *target, packet packet) {
+	if packet.flow.ended {
+		return
+	}
+	checks.violate(checker.InvariantFlowKept, "a packet of a flow of %s reached %s", packet.flow.target.address, target.address)
+}
+
+// wasReset judges a reset of an open flow.
+func (checks *checks) wasReset(flow *flow, by *balancer) {
+	if flow.lost || !flow.target.alive {
+		return
+	}
+	checks.violate(checker.InvariantFlowKept, "%s reset a flow whose target %s lives", by.process.Name, flow.target.address)
+}
+
+// end judges the system after everything healed.
+func (checks *checks) end() {
+	world := checks.world
+	leader := world.leader()
+	if leader == nil {
+		checks.violate(checker.InvariantProgress, "no member leads %s after the last fault", world.Now().Sub(world.disturbedAt))
+		return
+	}
+	held := leader.Directory.Configuration()
+	checks.read(checks.highestAcknowledged, held)
+	checks.replicasAgree()
+	checks.tablesAgree(leader)
+	if world.callers.opened == 0 || world.callers.failed*20 > world.callers.opened {
+		checks.violate(checker.InvariantProgress, "in calm, %d flows opened and %d did not", world.callers.opened, world.callers.failed)
+	}
+	if checks.reads == 0 {
+		checks.violate(checker.InvariantProgress, "no read was answered")
+	}
+}
+
+func (checks *checks) replicasAgree() {
+	digests := make(map[model.Revision]uint64)
+	for _, member := range checks.world.members {
+		if !member.process.Active() || member.Directory == nil {
+			continue
+		}
+		revision, digest := member.Directory.Revision(), member.Directory.Digest()
+		if former, known := digests[revision]; known && former != digest {
+			checks.violate(checker.InvariantReplicasAgree, "two members differ at revision %d", revision)
+		}
+		digests[revision] = digest
+	}
+}
+
+// tablesAgree demands that every balancer has the leader's targets and version.
+func (checks *checks) tablesAgree(leader *Member) {
+	for _, balancer := range checks.world.balancers {
+		if !balancer.process.Active() {
+			continue
+		}
+		if version := balancer.table.Version(); version != leader.Directory.Configuration().Version {
+			checks.violate(checker.InvariantInForce, "%s ends with version %d, the leader with %d",
+				balancer.process.Name, version, leader.Directory.Configuration().Version)
+		}
+		for _, target := range leader.Directory.Targets() {
+			entry, known := balancer.table.Lookup(target.Token)
+			if !known || entry.ID != target.ID || entry.State != target.State {
+				checks.violate(checker.InvariantSameConfiguration, "%s ends with another state of target %d", balancer.process.Name, target.ID)
+			}
+		}
+	}
+	for _, target := range checks.world.targets {
+		held, known := leader.Directory.Target(target.id)
+		if target.alive && target.state == directory.TargetReady && (!known || held.State != directory.TargetReady) {
+			checks.violate(checker.InvariantProgress, "the living target %s ends as %s", target.address, held.State)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sim/directworld/member.go
@@ -0,0 +1,201 @@
+package directworld
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinpaddle/internal/board"
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/feed"
+	"merlinpaddle/internal/direct/probe"
+	"merlinpaddle/internal/direct/registrar"
+	"merlinpaddle/internal/filesystem/memory"
+	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/protocol"
+	"merlinpaddle/internal/reconfigure"
+	"merlinpaddle/internal/replica"
+	"merlinpaddle/internal/sim/kernel"
+)
+
+// Settings of simulated members.
+const (
+	memberInterval    = 25 * time.Millisecond
+	electionTimeout   = 400 * time.Millisecond
+	heartbeatInterval = 80 * time.Millisecond
+	flowLife          = 60 * time.Second
+	renewalInterval   = 1200 * time.Millisecond
+	answerWithin      = 850 * time.Millisecond
+	probeTimeout      = 180 * time.Millisecond
+)
+
+// Member is one member of the control group on a simulated process and disk.
+type Member struct {
+	// Registrar takes the calls of targets and operators; nil while the
+	// process does not run.
+	Registrar *registrar.Registrar
+	// Directory is the member's copy of the replicated state.
+	Directory *directory.Directory
+
+	world     *World
+	process   *kernel.Process
+	disk      *memory.Disk
+	bootstrap bool
+	group     *replica.Controller
+}
+
+func newMember(world *World, name string, zone model.ZoneName, bootstrap bool) *Member {
+	created := &Member{
+		world:     world,
+		disk:      memory.New(world.run.Random("disk/" + name).Uint64()),
+		bootstrap: bootstrap,
+	}
+	created.process = world.host.Add(endpoint(name, zone), memberInterval, created.build)
+	created.process.After(func(time.Time) { created.observe() })
+	return created
+}
+
+func (member *Member) build(mailbox *protocol.Mailbox, incarnation model.Incarnation) kernel.Program {
+	world := member.world
+	dispatcher := protocol.NewDispatcher(mailbox)
+	member.Directory = directory.New()
+	random := world.run.Random("member/" + string(member.process.Name))
+	seed := random.Uint64() + uint64(incarnation)
+	group, err := replica.NewController(replica.Options{
+		Self:                 member.process.Name,
+		Members:              world.seeds(),
+		Join:                 !member.bootstrap,
+		ElectionTimeout:      electionTimeout,
+		FirstElectionTimeout: electionTimeout / 4,
+		HeartbeatInterval:    heartbeatInterval,
+		SnapshotEvery:        40,
+		SegmentBytes:         16 << 10,
+		Seed:                 seed,
+	}, world.options.Parts.Disk(member.disk), mailbox, dispatcher, world.options.Parts.Machine(member.Directory))
+	if err != nil {
+		world.checks.storageRefused(member, err)
+		return kernel.Program{Mailbox: mailbox}
+	}
+	member.group = group
+	renewed := registrar.NewRenewed()
+	proposer := registrar.NewProposer(mailbox, dispatcher, group, member.Directory, seed)
+	member.Registrar = registrar.NewRegistrar(member.Directory, proposer, group, renewed, zap.NewNop())
+	health := registrar.NewHealth(registrar.HealthOptions{
+		SilentAfter: 5 * time.Second,
+		MissedAfter: renewalInterval * 8 / 5,
+		ProbePause:  700 * time.Millisecond,
+		ForgetAfter: flowLife + 15*time.Second,
+	}, mailbox, dispatcher, group, member.Directory, renewed, world.prober(member.process), zap.NewNop())
+	publisher := feed.NewPublisher(mailbox, dispatcher, member.Directory, memberSource{member: member})
+	keeper := reconfigure.New(reconfigure.DefaultOptions(world.options.ToleratedLosses), group, zap.NewNop())
+	return kernel.Program{
+		Mailbox:     mailbox,
+		Controllers: []board.Controller{dispatcher, group, proposer, health, publisher, keeper},
+		Stop:        func() { member.Registrar = nil },
+	}
+}
+
+// seeds returns the names of the first members, as settings files list them.
+func (world *World) seeds() []model.NodeName {
+	var names []model.NodeName
+	for _, member := range world.members[:min(world.options.Members, len(world.members))] {
+		names = append(names, member.process.Name)
+	}
+	return names
+}
+
+// memberSource shows a member to its publisher.
+type memberSource struct {
+	member *Member
+}
+
+// Fresh implements feed.Source.
+func (source memberSource) Fresh(now time.Time) bool {
+	return registrar.Fresh(source.member.group, now)
+}
+
+// Members implements feed.Source.
+func (source memberSource) Members() []model.NodeName {
+	var names []model.NodeName
+	for _, member := range source.member.group.StatusAt(source.member.process.LocalNow()).Members {
+		names = append(names, member.Name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// prober returns a prober whose probes cross the packet network.
+func (world *World) prober(process *kernel.Process) *probe.Prober {
+	return probe.NewWith(func(address netip.AddrPort, done func(probe.Outcome)) {
+		answered := false
+		answer := func(outcome probe.Outcome) {
+			if !answered {
+				answered = true
+				done(outcome)
+				process.Wake()
+			}
+		}
+		world.after(probeTimeout, func() { answer(probe.Silent) })
+		world.probe(process.Endpoint, address, answer)
+	})
+}
+
+// observe tells the checks what the member says of itself.
+func (member *Member) observe() {
+	if member.group == nil || !member.process.Running() {
+		return
+	}
+	if err := member.group.Err(); err != nil {
+		member.world.run.Trace.Add(string(member.process.Name), "failed", err.Error())
+		member.process.Kill()
+		return
+	}
+	status := member.group.StatusAt(member.process.LocalNow())
+	if status.Leading {
+		member.world.checks.leader(status.Term, string(member.process.Name))
+	}
+}
+
+// Kill ends the process at once; its disk keeps what was written.
+func (member *Member) Kill() {
+	member.world.disturb("kill", string(member.process.Name))
+	member.process.Kill()
+}
+
+// PowerOff ends the process at once and loses what was not synced.
+func (member *Member) PowerOff() {
+	member.Kill()
+	member.disk.Crash()
+}
+
+// Wipe loses the member's disk; the process must not run.
+func (member *Member) Wipe() {
+	member.disk.Wipe()
+	member.bootstrap = false
+}
+
+// Start starts the process again.
+func (member *Member) Start() {
+	member.world.disturb("start", string(member.process.Name))
+	member.process.Start()
+}
+
+// leader returns the member that leads with a confirmed quorum, or nil.
+func (world *World) leader() *Member {
+	for _, member := range world.members {
+		if member.process.Active() && member.group != nil && member.group.StatusAt(member.process.LocalNow()).Leading {
+			return member
+		}
+	}
+	return nil
+}
+
+// AddMember adds a member with an empty disk at an address of its own.
+func (world *World) AddMember(name string, zone model.ZoneName) *Member {
+	added := newMember(world, name, zone, false)
+	world.members = append(world.members, added)
+	added.Start()
+	return added
+}
--- /dev/null
+++ b/internal/sim/directworld/operator.go
@@ -0,0 +1,178 @@
+package directworld
+
+import (
+	"net/netip"
+	"time"
+
+	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/sim/kernel"
+)
+
+// operator declares configurations and reads them back, as two operators with
+// lost answers do.
+type operator struct {
+	world   *World
+	random  *kernel.Random
+	version uint64
+	extra   int
+}
+
+func newOperator(world *World) *operator {
+	return &operator{world: world, random: world.run.Random("operator")}
+}
+
+// base returns the configuration that every version contains.
+func (operator *operator) base(version uint64) *declared.Configuration {
+	route := func(name string, address netip.AddrPort, service string) declared.Route {
+		return declared.Route{
+			Name: name, Address: address, Kind: declared.KindSafe, Timeout: time.Second,
+			Pool: []declared.PoolPart{{Service: service, Weight: 1}},
+		}
+	}
+	return &declared.Configuration{
+		Version:  version,
+		Services: []declared.Service{{Name: serviceFeed, HealthPath: "/health"}, {Name: serviceLedger, HealthPath: "/health"}},
+		Routes:   []declared.Route{route("feed", routeFeed, serviceFeed), route("ledger", routeLedger, serviceLedger)},
+	}
+}
+
+// varied returns a configuration with a few idle routes that differ by draw.
+func (operator *operator) varied(version uint64) *declared.Configuration {
+	configuration := operator.base(version)
+	for range operator.random.Below(6) {
+		port := uint16(2000 + operator.random.Below(30))
+		address := netip.AddrPortFrom(routeFeed.Addr(), port)
+		configuration.Routes = append(configuration.Routes, declared.Route{
+			Name: address.String(), Address: address, Kind: declared.KindSafe,
+			Timeout: time.Duration(1+operator.random.Below(5)) * time.Second,
+			Pool:    []declared.PoolPart{{Service: serviceLedger, Weight: 1}},
+		})
+	}
+	return dropRepeated(configuration)
+}
+
+func dropRepeated(configuration *declared.Configuration) *declared.Configuration {
+	seen := make(map[netip.AddrPort]bool)
+	kept := configuration.Routes[:0]
+	for _, route := range configuration.Routes {
+		if !seen[route.Address] {
+			seen[route.Address] = true
+			kept = append(kept, route)
+		}
+	}
+	configuration.Routes = kept
+	return configuration
+}
+
+// declareFirst sends the first configuration until it is taken.
+func (operator *operator) declareFirst() {
+	operator.version = 1
+	first := operator.base(1)
+	operator.world.checks.sent(first)
+	operator.send(first, 40, 0)
+}
+
+// Declare sends one more version, drawn anew, until it is acknowledged.
+func (operator *operator) Declare() {
+	operator.version += 1 + uint64(operator.random.Below(3))
+	operator.declare(operator.varied(operator.version))
+}
+
+// Race sends two configurations under one version to two members at once.
+func (operator *operator) Race() {
+	operator.version += 1 + uint64(operator.random.Below(3))
+	operator.declare(operator.varied(operator.version))
+	operator.declare(operator.varied(operator.version))
+}
+
+// DeclareInvalid sends a configuration that must be refused.
+func (operator *operator) DeclareInvalid() {
+	operator.version++
+	invalid := operator.varied(operator.version)
+	switch operator.random.Below(4) {
+	case 0:
+		invalid.Routes[0].Timeout = 0
+	case 1:
+		invalid.Routes[0].Pool[0].Service = "unknown"
+	case 2:
+		invalid.Routes[1].Address = invalid.Routes[0].Address
+	case 3:
+		invalid.Routes[0].Pool[0].Weight = 0
+	}
+	world := operator.world
+	world.call(operator.endpoint(), kernel.Pick(operator.random, world.members),
+		func(member *Member, now, deadline time.Time, done func(error)) {
+			member.Registrar.Declare(now, invalid, deadline, done)
+		}, func(err error) {
+			if err == nil {
+				world.checks.invalidTaken(invalid)
+			}
+		})
+}
+
+func (operator *operator) endpoint() kernel.Endpoint { return endpoint("operator", zones[0]) }
+
+func (operator *operator) declare(next *declared.Configuration) {
+	operator.world.checks.sent(next)
+	operator.send(next, 30, operator.random.Below(len(operator.world.members)))
+}
+
+// send calls members in turn until one acknowledges.
+func (operator *operator) send(next *declared.Configuration, tries, place int) {
+	if tries == 0 {
+		return
+	}
+	world := operator.world
+	world.call(operator.endpoint(), world.members[place%len(world.members)],
+		func(member *Member, now, deadline time.Time, done func(error)) {
+			member.Registrar.Declare(now, next, deadline, done)
+		}, func(err error) {
+			if err == nil {
+				world.checks.acknowledged(next.Version)
+				return
+			}
+			world.after(100*time.Millisecond, func() { operator.send(next, tries-1, place+1) })
+		})
+}
+
+// Read reads the configuration at any member and checks the answer.
+func (operator *operator) Read() {
+	world := operator.world
+	expected := world.checks.highestAcknowledged
+	member := kernel.Pick(operator.random, world.members)
+	var held *declared.Configuration
+	world.call(operator.endpoint(), member,
+		func(member *Member, now, deadline time.Time, done func(error)) {
+			world.options.Parts.Read(member, now, deadline, func(read *declared.Configuration, err error) {
+				held = read
+				done(err)
+			})
+		}, func(err error) {
+			if err == nil {
+				world.checks.read(expected, held)
+			}
+		})
+}
+
+// Work declares, races, resends and reads until the returned function is
+// called.
+func (operator *operator) Work(pause time.Duration) (stop func()) {
+	working := true
+	operator.world.run.Scheduler.Every(pause, func() bool {
+		if !working || operator.world.stopped {
+			return false
+		}
+		switch operator.random.Below(8) {
+		case 0:
+			operator.Race()
+		case 1:
+			operator.DeclareInvalid()
+		case 2, 3, 4:
+			operator.Read()
+		default:
+			operator.Declare()
+		}
+		return true
+	})
+	return func() { working = false }
+}
--- /dev/null
+++ b/internal/sim/directworld/stories.go
@@ -0,0 +1,330 @@
+package directworld
+
+import (
+	"fmt"
+	"time"
+
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/sim"
+	"merlinpaddle/internal/sim/kernel"
+)
+
+// story is what happens to a started world.
+type story struct {
+	name    string
+	summary string
+	change  func(options *Options)
+	play    func(world *World)
+}
+
+// Scenarios returns all scenarios of direct services with the given parts.
+func Scenarios(parts Parts) []sim.Scenario {
+	var scenarios []sim.Scenario
+	for _, one := range stories {
+		scenarios = append(scenarios, one.build(parts))
+	}
+	return scenarios
+}
+
+func (story story) build(parts Parts) sim.Scenario {
+	return sim.Scenario{Name: story.name, Summary: story.summary, Play: func(run *sim.Run) {
+		options := DefaultOptions()
+		options.Parts = parts
+		if story.change != nil {
+			story.change(&options)
+		}
+		world := New(run, options)
+		world.Start()
+		stop := world.operator.Work(150 * time.Millisecond)
+		story.play(world)
+		stop()
+		world.Finish()
+	}}
+}
+
+var stories = []story{
+	{
+		name:    "direct-planned",
+		summary: "targets are replaced and scaled in, balancers and members restart in turn, configurations change",
+		play:    planned,
+	},
+	{
+		name:    "direct-target-deaths",
+		summary: "targets crash, fall silent, and their addresses go to another service while flows are open",
+		play:    targetDeaths,
+	},
+	{
+		name:    "direct-leader-loss",
+		summary: "the leader is killed, loses power or stands still again and again under racing operators",
+		play:    leaderLoss,
+	},
+	{
+		name:    "direct-core-cuts",
+		summary: "members are cut off, one way or both, alone or from everything, under racing operators",
+		play:    coreCuts,
+	},
+	{
+		name:    "direct-lost-disks",
+		summary: "members lose their disks one after the other; each is taken in again before the next one goes",
+		play:    lostDisks,
+	},
+	{
+		name:    "direct-replaced-members",
+		summary: "members go for good and empty ones come at other addresses, without an operator",
+		play:    replacedMembers,
+	},
+	{
+		name:    "direct-power-loss",
+		summary: "every process loses power at once, again and again, right after something was acknowledged",
+		play:    powerLoss,
+	},
+	{
+		name:    "direct-bad-disks",
+		summary: "disks of members are full for seconds",
+		play:    fullDisks,
+	},
+	{
+		name:    "direct-lost-messages",
+		summary: "a tenth of all control messages is lost, doubled or late, and calls with them",
+		change: func(options *Options) {
+			options.Faults = kernel.LinkFaults{Loss: 0.1, Duplication: 0.1, Jitter: 30 * time.Millisecond}
+		},
+		play: planned,
+	},
+	{
+		name:    "direct-five-members",
+		summary: "two of six members are lost at once, with disks, and return",
+		change: func(options *Options) {
+			options.Members = 6
+			options.ToleratedLosses = 2
+		},
+		play: fiveMembers,
+	},
+}
+
+func planned(world *World) {
+	for range 3 {
+		for _, target := range world.livingTargets(2) {
+			world.AddTarget(target.service, target.zone)
+			target.Drain()
+		}
+		world.RunFor(2 * time.Second)
+		world.restartBalancer(kernel.Pick(world.random, world.balancers), 300*time.Millisecond)
+		world.RunFor(5 * time.Second)
+		member := kernel.Pick(world.random, world.members)
+		member.Kill()
+		world.RunFor(world.random.Between(50*time.Millisecond, time.Second))
+		member.Start()
+		world.RunFor(6 * time.Second)
+	}
+}
+
+// livingTargets returns up to count targets that are ready, drawn anew, of
+// services that keep others.
+func (world *World) livingTargets(count int) []*target {
+	ready := make(map[string]int)
+	for _, target := range world.targets {
+		if target.alive && target.state == directory.TargetReady {
+			ready[target.service]++
+		}
+	}
+	var chosen []*target
+	order := append([]*target(nil), world.targets...)
+	world.random.Shuffle(len(order), func(left, right int) { order[left], order[right] = order[right], order[left] })
+	for _, target := range order {
+		if len(chosen) < count && target.alive && target.state == directory.TargetReady && ready[target.service] > 1 {
+			ready[target.service]--
+			chosen = append(chosen, target)
+		}
+	}
+	return chosen
+}
+
+func (world *World) restartBalancer(balancer *balancer, downFor time.Duration) {
+	world.disturb("restart", string(balancer.process.Name))
+	balancer.process.Kill()
+	world.after(downFor, func() {
+		world.disturb("start", string(balancer.process.Name))
+		balancer.process.Start()
+	})
+}
+
+func targetDeaths(world *World) {
+	for round := range 4 {
+		for _, target := range world.livingTargets(2) {
+			world.disturb("death", target.address.String())
+			target.Die(round%2 == 0)
+			address, zone := target.address, target.zone
+			service := serviceFeed
+			if target.service == serviceFeed {
+				service = serviceLedger
+			}
+			world.after(world.random.Between(2*time.Second, 4*time.Second), func() { world.addTargetAt(service, zone, address) })
+			world.AddTarget(target.service, zone)
+		}
+		world.RunFor(9 * time.Second)
+	}
+}
+
+func leaderLoss(world *World) {
+	for range 5 {
+		leader := world.leader()
+		if leader == nil {
+			world.RunFor(2 * time.Second)
+			continue
+		}
+		downFor := world.random.Between(100*time.Millisecond, 4*time.Second)
+		switch world.random.Below(3) {
+		case 0:
+			leader.Kill()
+			world.after(downFor, leader.Start)
+		case 1:
+			leader.PowerOff()
+			world.after(downFor, leader.Start)
+		case 2:
+			world.disturb("freeze", string(leader.process.Name))
+			leader.process.Freeze()
+			world.after(downFor, func() {
+				world.disturb("thaw", string(leader.process.Name))
+				leader.process.Thaw()
+			})
+		}
+		for _, target := range world.livingTargets(1) {
+			target.Drain()
+			world.AddTarget(target.service, target.zone)
+		}
+		world.RunFor(downFor + 4*time.Second)
+	}
+}
+
+// cut separates a member for a while in one of several ways.
+func (world *World) cut(member *Member, duration time.Duration) {
+	name := member.process.Name
+	var heals []func()
+	kind := world.random.Below(4)
+	switch kind {
+	case 0:
+		heals = append(heals, world.control.Isolate(name))
+	case 1, 2:
+		for _, other := range world.members {
+			if other == member {
+				continue
+			}
+			heals = append(heals, world.control.CutOneWay(name, other.process.Name))
+			if kind == 2 {
+				heals = append(heals, world.control.CutOneWay(other.process.Name, name))
+			}
+		}
+	case 3:
+		for _, balancer := range world.balancers {
+			heals = append(heals, world.control.CutOneWay(name, balancer.process.Name))
+		}
+	}
+	world.disturb("cut", fmt.Sprintf("%s, kind %d", name, kind))
+	world.after(duration, func() {
+		world.disturb("heal", string(name))
+		for _, heal := range heals {
+			heal()
+		}
+	})
+}
+
+func coreCuts(world *World) {
+	for range 5 {
+		member := kernel.Pick(world.random, world.members)
+		if leader := world.leader(); leader != nil && world.random.Chance(0.6) {
+			member = leader
+		}
+		duration := world.random.Between(time.Second, 6*time.Second)
+		world.cut(member, duration)
+		for _, target := range world.livingTargets(1) {
+			target.Drain()
+			world.AddTarget(target.service, target.zone)
+		}
+		world.RunFor(duration + 3*time.Second)
+	}
+}
+
+func lostDisks(world *World) {
+	for range 4 {
+		member := kernel.Pick(world.random, world.members)
+		member.PowerOff()
+		member.Wipe()
+		world.RunFor(world.random.Between(100*time.Millisecond, 2*time.Second))
+		member.Start()
+		world.RunFor(6 * time.Second)
+	}
+	world.RunFor(2 * time.Second)
+	world.powerOffAll(true)
+}
+
+func replacedMembers(world *World) {
+	for round := range 3 {
+		gone := world.members[round]
+		gone.PowerOff()
+		world.RunFor(world.random.Between(100*time.Millisecond, 2*time.Second))
+		world.AddMember(fmt.Sprintf("10.0.%d.1:7000", 100+round), gone.process.Zone)
+		world.RunFor(10 * time.Second)
+	}
+	gone := world.members[3]
+	gone.PowerOff()
+	world.RunFor(9 * time.Second)
+	gone.Start()
+}
+
+// powerOffAll lets every process lose power at once; with losing, the disk of
+// one member too.
+func (world *World) powerOffAll(losing bool) {
+	unlucky := kernel.Pick(world.random, world.members)
+	for _, member := range world.members {
+		running := member.process.Running()
+		member.PowerOff()
+		if losing && member == unlucky {
+			member.Wipe()
+		}
+		if running {
+			world.after(world.random.Between(500*time.Millisecond, 1500*time.Millisecond), member.Start)
+		}
+	}
+	for _, balancer := range world.balancers {
+		world.restartBalancer(balancer, world.random.Between(500*time.Millisecond, 1500*time.Millisecond))
+	}
+}
+
+func powerLoss(world *World) {
+	for round := range 4 {
+		world.powerOffAll(round%2 == 1)
+		world.RunFor(world.random.Between(7*time.Second, 9*time.Second))
+	}
+}
+
+func fullDisks(world *World) {
+	for range 4 {
+		member := kernel.Pick(world.random, world.members)
+		if leader := world.leader(); leader != nil && world.random.Chance(0.6) {
+			member = leader
+		}
+		world.disturb("disk-full", string(member.process.Name))
+		member.disk.SetCapacity(1)
+		world.RunFor(world.random.Between(time.Second, 5*time.Second))
+		member.disk.SetCapacity(0)
+		world.disturb("disk-room", string(member.process.Name))
+		world.RunFor(4 * time.Second)
+	}
+}
+
+func fiveMembers(world *World) {
+	world.RunFor(4 * time.Second)
+	for range 3 {
+		first := world.random.Below(len(world.members))
+		second := (first + 1 + world.random.Below(len(world.members)-1)) % len(world.members)
+		for _, place := range []int{first, second} {
+			member := world.members[place]
+			member.PowerOff()
+			member.Wipe()
+			world.after(world.random.Between(200*time.Millisecond, 2*time.Second), member.Start)
+		}
+		world.RunFor(10 * time.Second)
+	}
+	world.powerOffAll(false)
+}
--- /dev/null
+++ b/internal/sim/directworld/target.go
@@ -0,0 +1,216 @@
+package directworld
+
+import (
+	"net/netip"
+	"time"
+
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/probe"
+	"merlinpaddle/internal/direct/steer"
+	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/sim/kernel"
+)
+
+// callTimeout is how long targets and operators wait for an answer.
+const callTimeout = time.Second
+
+// target is a stand-in for one incarnation of a target.
+type target struct {
+	world    *World
+	id       directory.TargetID
+	service  string
+	address  netip.AddrPort
+	zone     model.ZoneName
+	state    directory.TargetState
+	sequence uint64
+	alive    bool
+	// silent tells that its machine does not answer at all.
+	silent bool
+	flows  map[*flow]bool
+	// member is the place of the member that is called next.
+	member int
+	// leavingAckedAt is when draining or leaving was acknowledged.
+	leavingAckedAt time.Time
+	diedAt         time.Time
+}
+
+// AddTarget starts a target of service at an address of its own.
+func (world *World) AddTarget(service string, zone model.ZoneName) *target {
+	world.nextHost++
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 128, byte(world.nextHost >> 8), byte(world.nextHost)}), 8080)
+	return world.addTargetAt(service, zone, address)
+}
+
+func (world *World) addTargetAt(service string, zone model.ZoneName, address netip.AddrPort) *target {
+	world.nextID++
+	added := &target{
+		world:   world,
+		id:      directory.TargetID(world.nextID<<8 | world.random.Uint64()&0xff),
+		service: service,
+		address: address,
+		zone:    zone,
+		state:   directory.TargetReady,
+		alive:   true,
+		flows:   make(map[*flow]bool),
+		member:  world.random.Below(len(world.members)),
+	}
+	world.targets = append(world.targets, added)
+	world.byAddress[address] = added
+	world.after(world.random.Between(0, renewalInterval/4), added.beat)
+	return added
+}
+
+func (target *target) endpoint() kernel.Endpoint {
+	return endpoint(target.address.String(), target.zone)
+}
+
+func (target *target) beat() {
+	if !target.alive || target.state == directory.TargetLeft {
+		return
+	}
+	target.register()
+	target.world.after(renewalInterval, target.beat)
+}
+
+// register calls one member; the next beat or the next try calls another one
+// when no acknowledgement comes.
+func (target *target) register() {
+	world := target.world
+	target.sequence++
+	stated := directory.Target{
+		ID: target.id, Service: target.service, Address: target.address, Zone: string(target.zone),
+		Capacity: 2, State: target.state, Sequence: target.sequence,
+	}
+	world.call(target.endpoint(), world.members[target.member%len(world.members)],
+		func(member *Member, now, deadline time.Time, done func(error)) {
+			member.Registrar.Register(now, stated, deadline, done)
+		},
+		func(err error) {
+			switch {
+			case err != nil:
+				target.member++
+				target.retry(stated.State)
+			case stated.State == directory.TargetDraining && target.leavingAckedAt.IsZero():
+				target.leavingAckedAt = world.Now()
+			}
+		})
+}
+
+// retry calls the next member soon when a drain was not acknowledged.
+func (target *target) retry(state directory.TargetState) {
+	if state == directory.TargetDraining && target.leavingAckedAt.IsZero() && target.alive {
+		target.world.after(50*time.Millisecond, target.register)
+	}
+}
+
+// call sends a call to a member and its answer back. No answer within
+// callTimeout counts as an error; done is called once.
+func (world *World) call(from kernel.Endpoint, member *Member,
+	start func(member *Member, now, deadline time.Time, done func(error)), done func(error)) {
+	ended := false
+	finish := func(err error) {
+		if !ended && !world.stopped {
+			ended = true
+			done(err)
+		}
+	}
+	world.after(callTimeout, func() { finish(errNoAnswer) })
+	world.control.Send(from, member.process.Endpoint, func() {
+		if !member.process.Active() || member.Registrar == nil {
+			return
+		}
+		now := member.process.LocalNow()
+		start(member, now, now.Add(answerWithin), func(err error) {
+			world.control.Send(member.process.Endpoint, from, func() { finish(err) })
+		})
+		member.process.Wake()
+	})
+}
+
+// Drain makes the target leave as planned: it drains, serves on after the
+// acknowledgement, leaves and ends.
+func (target *target) Drain() {
+	target.state = directory.TargetDraining
+	target.world.run.Trace.Add(target.address.String(), "drains", "")
+	target.register()
+	target.world.after(7*time.Second, target.leave)
+}
+
+func (target *target) leave() {
+	world := target.world
+	if !target.alive {
+		return
+	}
+	target.state = directory.TargetLeft
+	world.call(target.endpoint(), kernel.Pick(world.random, world.members),
+		func(member *Member, now, deadline time.Time, done func(error)) {
+			member.Registrar.Leave(now, target.id, deadline, done)
+		}, func(error) {})
+	world.after(500*time.Millisecond, func() { target.Die(false) })
+}
+
+// Die ends the target at once. A silent one's machine is gone too.
+func (target *target) Die(silent bool) {
+	if !target.alive {
+		return
+	}
+	target.alive = false
+	target.silent = silent
+	target.diedAt = target.world.Now()
+	for flow := range target.flows {
+		flow.lost = true
+	}
+	target.flows = make(map[*flow]bool)
+	target.world.run.Trace.Add(target.address.String(), "dies", "")
+}
+
+// probe answers a connection attempt at an address.
+func (world *World) probe(from kernel.Endpoint, address netip.AddrPort, answer func(probe.Outcome)) {
+	found := world.byAddress[address]
+	if found == nil || found.silent {
+		return
+	}
+	world.packets.Send(from, found.endpoint(), func() {
+		outcome := probe.Refused
+		if found := world.byAddress[address]; found.alive {
+			outcome = probe.Answered
+		} else if found.silent {
+			return
+		}
+		world.packets.Send(found.endpoint(), from, func() { answer(outcome) })
+	})
+}
+
+// deliver carries a packet from a balancer to a target's address.
+func (world *World) deliver(through *balancer, packet packet, decision steer.Decision) {
+	found := world.byAddress[decision.Target]
+	if found == nil {
+		return
+	}
+	world.packets.Send(through.process.Endpoint, found.endpoint(), func() {
+		arrived := world.byAddress[decision.Target]
+		if !arrived.alive || arrived.id != decision.ID {
+			return
+		}
+		arrived.take(through, packet, decision)
+	})
+}
+
+// take handles a packet that is meant for this incarnation.
+func (target *target) take(through *balancer, packet packet, decision steer.Decision) {
+	world := target.world
+	flow := packet.flow
+	if packet.opening {
+		world.checks.opened(through, target, packet)
+		world.packets.Send(target.endpoint(), flow.endpoint(), func() { flow.accepted(target, decision.Token) })
+		return
+	}
+	if flow.target != target {
+		world.checks.foreignPacket(target, packet)
+		return
+	}
+	if !flow.lost {
+		target.flows[flow] = true
+		world.packets.Send(target.endpoint(), flow.endpoint(), func() { flow.answeredAt = world.Now() })
+	}
+}
--- a/internal/sim/scenario/registry.go
+++ b/internal/sim/scenario/registry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"merlinpaddle/internal/sim"
+	"merlinpaddle/internal/sim/directworld"
 	"merlinpaddle/internal/sim/kernel"
 	"merlinpaddle/internal/sim/world"
 )
@@ -26,7 +27,7 @@
 	for _, one := range stories() {
 		scenarios = append(scenarios, one.build(world.StandardParts()))
 	}
-	return scenarios
+	return append(scenarios, directworld.Scenarios(directworld.StandardParts())...)
 }
 
 // Find returns the scenario called name.
@@ -39,6 +40,11 @@
 			return one.build(parts), true
 		}
 	}
+	for _, one := range directworld.Scenarios(parts.Direct) {
+		if one.Name == name {
+			return one, true
+		}
+	}
 	return sim.Scenario{}, false
 }
 
--- a/internal/sim/world/parts.go
+++ b/internal/sim/world/parts.go
@@ -13,6 +13,7 @@
 	"merlinpaddle/internal/replica"
 	"merlinpaddle/internal/rollout"
 	"merlinpaddle/internal/routing"
+	"merlinpaddle/internal/sim/directworld"
 	"merlinpaddle/internal/sim/kernel"
 	"merlinpaddle/internal/steering"
 )
@@ -122,11 +123,14 @@
 	// Idle tells whether a target may be stopped, from its open flows and from
 	// whether no request runs or waits.
 	Idle func(flows int, requestsIdle bool) bool
+	// Direct are the parts of the world of direct services.
+	Direct directworld.Parts
 }
 
 // StandardParts returns the product's own parts.
 func StandardParts() Parts {
 	return Parts{
+		Direct:    directworld.StandardParts(),
 		Chain:     routing.Chain,
 		Steering:  func(_ steering.Options, standard Steerer) Steerer { return standard },
 		Cache:     func(standard OwnerCache) OwnerCache { return standard },
