--- /dev/null
+++ b/internal/sim/mutant/direct.go
@@ -0,0 +1,172 @@
+package mutant
+
+import (
+	"time"
+
+	"merlinpaddle/internal/checker"
+	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/feed"
+	"merlinpaddle/internal/direct/steer"
+	"merlinpaddle/internal/filesystem"
+	"merlinpaddle/internal/protocol"
+	"merlinpaddle/internal/sim"
+	"merlinpaddle/internal/sim/directworld"
+	"merlinpaddle/internal/sim/world"
+)
+
+// directDecision returns a variant that replaces decisions of balancers.
+func directDecision(decide func(table *steer.Table, segment steer.Segment, now time.Time) steer.Decision) Change {
+	return func(_ *sim.Run, parts *world.Parts) { parts.Direct.Decide = decide }
+}
+
+// directUpdates returns a variant that changes updates on their way to
+// balancers.
+func directUpdates(change func(update *feed.Update)) Change {
+	return func(_ *sim.Run, parts *world.Parts) {
+		parts.Direct.Messages = func(envelope protocol.Envelope) []protocol.Envelope {
+			if update, isUpdate := envelope.Message.(feed.Update); isUpdate {
+				update.Changes.Targets = append([]directory.TargetEntry(nil), update.Changes.Targets...)
+				change(&update)
+				envelope.Message = update
+			}
+			return []protocol.Envelope{envelope}
+		}
+	}
+}
+
+func directReadUnconfirmed() Mutant {
+	return Mutant{
+		Name:   "direct-read-unconfirmed",
+		Breaks: "a member answers a read of the declared configuration from its own copy",
+		Expect: []checker.Invariant{checker.InvariantLinearizable},
+		Story:  storyOf("direct-core-cuts"),
+		Variant: func(_ *sim.Run, parts *world.Parts) {
+			parts.Direct.Read = func(member *directworld.Member, _, _ time.Time, done func(*declared.Configuration, error)) {
+				done(member.Directory.Configuration(), nil)
+			}
+		},
+	}
+}
+
+func directTokenIgnored() Mutant {
+	return Mutant{
+		Name:   "direct-token-ignored",
+		Breaks: "a balancer chooses a target for every packet anew instead of following the token",
+		Expect: []checker.Invariant{checker.InvariantFlowKept},
+		Story:  storyOf("direct-planned"),
+		Variant: directDecision(func(table *steer.Table, segment steer.Segment, now time.Time) steer.Decision {
+			segment.Opening = true
+			return table.Decide(segment, now)
+		}),
+	}
+}
+
+func directLostTokenReset() Mutant {
+	return Mutant{
+		Name:   "direct-lost-token-reset",
+		Breaks: "balancers lose some tokens and reset the flows that carry them",
+		Expect: []checker.Invariant{checker.InvariantFlowKept},
+		Story:  storyOf("direct-target-deaths"),
+		Variant: directDecision(func(table *steer.Table, segment steer.Segment, now time.Time) steer.Decision {
+			if !segment.Opening && segment.Token%8 == 7 {
+				segment.Token += 1 << 20
+			}
+			decision := table.Decide(segment, now)
+			if decision.Reason == steer.ReasonUnknownToken {
+				decision.Action = steer.Reset
+			}
+			return decision
+		}),
+	}
+}
+
+func directDrainIgnored() Mutant {
+	return Mutant{
+		Name:   "direct-drain-ignored",
+		Breaks: "balancers learn of draining targets as if they were ready",
+		Expect: []checker.Invariant{checker.InvariantDrain},
+		Story:  storyOf("direct-planned"),
+		Variant: directUpdates(func(update *feed.Update) {
+			for index := range update.Changes.Targets {
+				if update.Changes.Targets[index].State == directory.TargetDraining {
+					update.Changes.Targets[index].State = directory.TargetReady
+				}
+			}
+		}),
+	}
+}
+
+func directServiceCrossed() Mutant {
+	return Mutant{
+		Name:   "direct-service-crossed",
+		Breaks: "balancers take targets of one service for those of another",
+		Expect: []checker.Invariant{checker.InvariantServiceIsolation},
+		Story:  storyOf("direct-planned"),
+		Variant: directUpdates(func(update *feed.Update) {
+			for index := range update.Changes.Targets {
+				if update.Changes.Targets[index].Token%4 == 1 {
+					update.Changes.Targets[index].Service = "ledger"
+				}
+			}
+		}),
+	}
+}
+
+func directUpdatePartlyLost() Mutant {
+	return Mutant{
+		Name:   "direct-update-partly-lost",
+		Breaks: "an update loses some of its targets and counts as whole",
+		Expect: []checker.Invariant{checker.InvariantSameConfiguration},
+		Story:  storyOf("direct-planned"),
+		Variant: directUpdates(func(update *feed.Update) {
+			if len(update.Changes.Targets) == 1 && update.Changes.Targets[0].Token%3 == 0 {
+				update.Changes.Targets = nil
+			}
+		}),
+	}
+}
+
+func directUpdatesStale() Mutant {
+	return Mutant{
+		Name:   "direct-updates-stale",
+		Breaks: "members tell balancers that they are current without having heard from a leader",
+		Expect: []checker.Invariant{checker.InvariantInForce},
+		Story:  storyOf("direct-bad-disks"),
+		Variant: directUpdates(func(update *feed.Update) {
+			update.Fresh = true
+		}),
+	}
+}
+
+func directEntriesNotSynced() Mutant {
+	return Mutant{
+		Name:   "direct-entries-not-synced",
+		Breaks: "registrations and declarations are acknowledged before they are written",
+		Expect: []checker.Invariant{checker.InvariantLinearizable, checker.InvariantCommittedKept},
+		Story:  storyOf("direct-power-loss"),
+		Variant: func(_ *sim.Run, parts *world.Parts) {
+			parts.Direct.Disk = func(standard filesystem.FileSystem) filesystem.FileSystem {
+				return brokenLog{FileSystem: standard, wrap: func(file filesystem.File) filesystem.File {
+					return &lateFile{File: file}
+				}}
+			}
+		},
+	}
+}
+
+func directLivingTargetFailed() Mutant {
+	return Mutant{
+		Name:   "direct-living-target-failed",
+		Breaks: "balancers take every target that drains for a dead one",
+		Expect: []checker.Invariant{checker.InvariantFlowKept},
+		Story:  storyOf("direct-planned"),
+		Variant: directUpdates(func(update *feed.Update) {
+			for index := range update.Changes.Targets {
+				if update.Changes.Targets[index].State == directory.TargetDraining {
+					update.Changes.Targets[index].State = directory.TargetFailed
+				}
+			}
+		}),
+	}
+}
--- a/internal/sim/mutant/table.go
+++ b/internal/sim/mutant/table.go
@@ -41,6 +41,15 @@
 		updatePartlyLost(),
 		digestIgnored(),
 		relayClaimsToBeCurrent(),
+		directReadUnconfirmed(),
+		directTokenIgnored(),
+		directLostTokenReset(),
+		directDrainIgnored(),
+		directServiceCrossed(),
+		directUpdatePartlyLost(),
+		directUpdatesStale(),
+		directEntriesNotSynced(),
+		directLivingTargetFailed(),
 	}
 }
 
