--- /dev/null
+++ b/internal/direct/declared/declared_test.go
@@ -0,0 +1,127 @@
+package declared
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/stretchr/testify/require"
+
+	"merlinpaddle/internal/faults"
+)
+
+func address(port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), uint16(port))
+}
+
+func sound() *Configuration {
+	return &Configuration{
+		Version:  3,
+		Services: []Service{{Name: "feed"}, {Name: "ledger"}},
+		Routes: []Route{
+			{Name: "a", Address: address(443), Kind: KindSafe, Timeout: time.Second, Pool: []PoolPart{{"feed", 90}, {"ledger", 10}}, Weighted: true},
+			{Name: "b", Address: address(444), Kind: KindUpload, Timeout: time.Second, Pool: []PoolPart{{"ledger", 1}}},
+		},
+	}
+}
+
+func TestValidate(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(configuration *Configuration)
+		field  string
+	}{
+		{"sound", func(*Configuration) {}, ""},
+		{"a part of weight zero beside others", func(c *Configuration) { c.Routes[0].Pool[1].Weight = 0 }, ""},
+		{"no version", func(c *Configuration) { c.Version = 0 }, "version"},
+		{"service without a name", func(c *Configuration) { c.Services[1].Name = "" }, "services[1].name"},
+		{"service twice", func(c *Configuration) { c.Services[1].Name = "feed" }, "services[1].name"},
+		{"route without a name", func(c *Configuration) { c.Routes[1].Name = "" }, "routes[1].name"},
+		{"route twice", func(c *Configuration) { c.Routes[1].Name = "a" }, "routes[1].name"},
+		{"address twice", func(c *Configuration) { c.Routes[1].Address = address(443) }, "routes[1]"},
+		{"no address", func(c *Configuration) { c.Routes[1].Address = netip.AddrPort{} }, "routes[1]"},
+		{"no port", func(c *Configuration) { c.Routes[1].Address = address(0) }, "routes[1]"},
+		{"no time-out", func(c *Configuration) { c.Routes[0].Timeout = 0 }, "routes[0].timeout"},
+		{"negative time-out", func(c *Configuration) { c.Routes[0].Timeout = -1 }, "routes[0].timeout"},
+		{"unknown kind", func(c *Configuration) { c.Routes[0].Kind = "odd" }, "routes[0].kind"},
+		{"unknown service", func(c *Configuration) { c.Routes[1].Pool[0].Service = "odd" }, "routes[1].pool[0]"},
+		{"negative weight", func(c *Configuration) { c.Routes[0].Pool[0].Weight = -1 }, "routes[0].pool[0]"},
+		{"no weight at all", func(c *Configuration) { c.Routes[1].Pool[0].Weight = 0 }, "routes[1].pool"},
+		{"empty pool", func(c *Configuration) { c.Routes[1].Pool = nil }, "routes[1].pool"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			configuration := sound()
+			test.change(configuration)
+			err := configuration.Validate()
+			if test.field == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.Equal(t, faults.ConfigurationInvalid, faults.CodeOf(err))
+			require.ErrorContains(t, err, test.field)
+		})
+	}
+}
+
+// drawn makes a configuration from numbers: each gives one route a port and a
+// time-out, in their order.
+func drawn(version uint64, numbers []int) *Configuration {
+	configuration := &Configuration{Version: version, Services: []Service{{Name: "feed", MaxConnections: len(numbers) % 3}}}
+	seen := make(map[int]bool)
+	for _, number := range numbers {
+		port := 1 + number%17
+		if seen[port] {
+			continue
+		}
+		seen[port] = true
+		configuration.Routes = append(configuration.Routes, Route{
+			Name: fmt.Sprint(port), Address: address(port), Kind: KindSafe,
+			Timeout: time.Duration(1+number/17%3) * time.Second, Pool: []PoolPart{{"feed", 1}},
+		})
+	}
+	return configuration
+}
+
+func TestDifferenceLeadsFromOneConfigurationToAnother(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(7))
+	numbers := gen.SliceOf(gen.IntRange(0, 500))
+	properties.Property("the applied difference is the other configuration", prop.ForAll(
+		func(first, second []int) bool {
+			base, next := drawn(1, first), drawn(2, second)
+			difference := Compare(base, next)
+			applied, fits := difference.Apply(base)
+			if !fits || len(applied.Routes) != len(next.Routes) {
+				return false
+			}
+			for index := range applied.Routes {
+				if !applied.Routes[index].Equal(&next.Routes[index]) {
+					return false
+				}
+			}
+			return applied.Version == 2 && applied.Services[0] == next.Services[0]
+		}, numbers, numbers))
+	properties.TestingRun(t)
+}
+
+func TestDifferenceOfAnotherVersionDoesNotApply(t *testing.T) {
+	difference := Compare(drawn(4, []int{1}), drawn(6, []int{2}))
+	_, fits := difference.Apply(drawn(5, []int{1}))
+	require.False(t, fits)
+}
+
+func TestSmallChangeIsASmallDifference(t *testing.T) {
+	base := sound()
+	next := sound()
+	next.Version = 4
+	next.Routes[1].Timeout = 2 * time.Second
+	difference := Compare(base, next)
+	require.Len(t, difference.Routes, 1)
+	require.Empty(t, difference.Removed)
+	require.Nil(t, difference.Order)
+	require.False(t, difference.ServicesChanged)
+}
--- /dev/null
+++ b/internal/direct/directory/directory_test.go
@@ -0,0 +1,270 @@
+package directory
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/stretchr/testify/require"
+
+	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/model"
+)
+
+// runner applies commands in order.
+type runner struct {
+	t         testing.TB
+	directory *Directory
+	index     model.Revision
+}
+
+func newRunner(t testing.TB) *runner { return &runner{t: t, directory: New()} }
+
+func (runner *runner) apply(command Command) Result {
+	runner.t.Helper()
+	data, err := EncodeCommand(command)
+	require.NoError(runner.t, err)
+	runner.index++
+	result, err := DecodeResult(runner.directory.Apply(runner.index, time.Time{}, data))
+	require.NoError(runner.t, err)
+	return result
+}
+
+func (runner *runner) register(target Target) Result {
+	runner.t.Helper()
+	return runner.apply(Command{Register: &Registration{Target: target}})
+}
+
+func (runner *runner) state(id TargetID) TargetState {
+	target, _ := runner.directory.Target(id)
+	return target.State
+}
+
+func targetAt(id TargetID, host byte, sequence uint64, state TargetState) Target {
+	return Target{
+		ID: id, Service: "feed", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 8080),
+		Capacity: 2, State: state, Sequence: sequence,
+	}
+}
+
+func TestTokensAreNeverGivenTwice(t *testing.T) {
+	runner := newRunner(t)
+	first := runner.register(targetAt(1, 1, 1, TargetReady))
+	again := runner.register(targetAt(1, 1, 2, TargetReady))
+	require.Equal(t, first.Token, again.Token, "one incarnation keeps its token")
+	runner.apply(Command{Forget: &Forgetting{IDs: []TargetID{1}}})
+	second := runner.register(targetAt(1, 1, 3, TargetReady))
+	require.NotEqual(t, first.Token, second.Token)
+	require.NotZero(t, first.Token)
+}
+
+func TestStateMovesForwardOnly(t *testing.T) {
+	cases := []struct {
+		name string
+		play func(runner *runner)
+		want TargetState
+	}{
+		{"ready", func(*runner) {}, TargetReady},
+		{"late call after draining", func(r *runner) {
+			r.register(targetAt(1, 1, 5, TargetDraining))
+			r.register(targetAt(1, 1, 4, TargetReady))
+		}, TargetDraining},
+		{"ready with a higher sequence after draining", func(r *runner) {
+			r.register(targetAt(1, 1, 5, TargetDraining))
+			r.register(targetAt(1, 1, 6, TargetReady))
+		}, TargetDraining},
+		{"draining after it left", func(r *runner) {
+			r.apply(Command{Leave: &Departure{ID: 1}})
+			r.register(targetAt(1, 1, 6, TargetDraining))
+		}, TargetLeft},
+		{"leaving twice", func(r *runner) {
+			r.apply(Command{Leave: &Departure{ID: 1}})
+			r.apply(Command{Leave: &Departure{ID: 1}})
+		}, TargetLeft},
+		{"failed", func(r *runner) {
+			r.apply(Command{Health: &HealthChange{Failed: []TargetID{1}}})
+		}, TargetFailed},
+		{"failed and recovered", func(r *runner) {
+			r.apply(Command{Health: &HealthChange{Failed: []TargetID{1}}})
+			r.apply(Command{Health: &HealthChange{Recovered: []TargetID{1}}})
+		}, TargetReady},
+		{"failed while draining and recovered", func(r *runner) {
+			r.register(targetAt(1, 1, 5, TargetDraining))
+			r.apply(Command{Health: &HealthChange{Failed: []TargetID{1}}})
+			r.apply(Command{Health: &HealthChange{Recovered: []TargetID{1}}})
+		}, TargetDraining},
+		{"failed, then left, then recovered", func(r *runner) {
+			r.apply(Command{Health: &HealthChange{Failed: []TargetID{1}}})
+			r.apply(Command{Leave: &Departure{ID: 1}})
+			r.apply(Command{Health: &HealthChange{Recovered: []TargetID{1}}})
+		}, TargetLeft},
+		{"failed and registers again", func(r *runner) {
+			r.apply(Command{Health: &HealthChange{Failed: []TargetID{1}}})
+			r.register(targetAt(1, 1, 9, TargetReady))
+		}, TargetReady},
+		{"another incarnation at its address", func(r *runner) {
+			r.register(targetAt(2, 1, 1, TargetReady))
+		}, TargetFailed},
+		{"replaced ones do not recover", func(r *runner) {
+			r.register(targetAt(2, 1, 1, TargetReady))
+			r.apply(Command{Health: &HealthChange{Recovered: []TargetID{1}}})
+		}, TargetFailed},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			runner := newRunner(t)
+			runner.register(targetAt(1, 1, 3, TargetReady))
+			test.play(runner)
+			require.Equal(t, test.want, runner.state(1))
+		})
+	}
+}
+
+func configurationOf(version uint64, ports ...int) *declared.Configuration {
+	configuration := &declared.Configuration{Version: version, Services: []declared.Service{{Name: "feed"}}}
+	for _, port := range ports {
+		configuration.Routes = append(configuration.Routes, declared.Route{
+			Name: fmt.Sprint(port), Kind: declared.KindSafe, Timeout: time.Second,
+			Address: netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), uint16(port)),
+			Pool:    []declared.PoolPart{{Service: "feed", Weight: 1}},
+		})
+	}
+	return configuration
+}
+
+func (runner *runner) declare(base, next *declared.Configuration) Result {
+	runner.t.Helper()
+	difference := declared.Compare(base, next)
+	return runner.apply(Command{Declare: &difference})
+}
+
+func TestHighestVersionWins(t *testing.T) {
+	runner := newRunner(t)
+	empty := &declared.Configuration{}
+	seven := configurationOf(7, 1, 2)
+	require.Equal(t, Result{Version: 7}, runner.declare(empty, seven))
+	require.Equal(t, Result{Version: 7}, runner.declare(empty, configurationOf(7, 3)), "equal versions change nothing")
+	require.Equal(t, Result{Version: 7}, runner.declare(empty, configurationOf(6, 3)), "older versions change nothing")
+	require.Equal(t, Result{Conflict: true, Version: 7}, runner.declare(empty, configurationOf(9, 3)), "a difference to another version is refused")
+	require.Equal(t, seven, runner.directory.Configuration())
+	require.Equal(t, Result{Version: 9}, runner.declare(seven, configurationOf(9, 3)))
+	require.Equal(t, uint64(9), runner.directory.Configuration().Version)
+}
+
+// reader keeps a copy from changes, as a balancer does.
+type reader struct {
+	revision model.Revision
+	routes   map[netip.AddrPort]bool
+	targets  map[Token]TargetEntry
+}
+
+func (reader *reader) take(changes Changes) {
+	if changes.Whole {
+		reader.routes = make(map[netip.AddrPort]bool)
+		reader.targets = make(map[Token]TargetEntry)
+	}
+	for _, removed := range changes.Removed {
+		delete(reader.routes, removed)
+	}
+	for _, forgotten := range changes.Forgotten {
+		delete(reader.targets, forgotten)
+	}
+	for _, route := range changes.Routes {
+		reader.routes[route.Address] = true
+	}
+	for _, target := range changes.Targets {
+		reader.targets[target.Token] = target
+	}
+	reader.revision = changes.To
+}
+
+// playRandom applies count random commands and calls each after every one.
+func playRandom(runner *runner, seed uint64, count int, each func(random *rand.Rand)) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	version := uint64(0)
+	for range count {
+		id := TargetID(1 + random.IntN(12))
+		switch random.IntN(7) {
+		case 0, 1:
+			runner.register(targetAt(id, byte(random.IntN(6)), uint64(runner.index), TargetReady))
+		case 2:
+			runner.register(targetAt(id, byte(random.IntN(6)), uint64(runner.index), TargetDraining))
+		case 3:
+			runner.apply(Command{Leave: &Departure{ID: id}})
+		case 4:
+			runner.apply(Command{Health: &HealthChange{Failed: []TargetID{id}, Recovered: []TargetID{id + 1}}})
+		case 5:
+			runner.apply(Command{Forget: &Forgetting{IDs: []TargetID{id}}})
+		case 6:
+			version += uint64(random.IntN(3))
+			var ports []int
+			for port := 1; port <= 9; port++ {
+				if random.IntN(2) == 0 {
+					ports = append(ports, port)
+				}
+			}
+			runner.declare(runner.directory.Configuration(), configurationOf(version, ports...))
+		}
+		each(random)
+	}
+}
+
+// TestReadersOfChangesAgreeWithReadersOfEverything compares a reader that
+// follows by changes, at times from a restored copy, with a whole reading.
+func TestReadersOfChangesAgreeWithReadersOfEverything(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(3))
+	properties.Property("changes add up to everything", prop.ForAll(func(seed uint64) bool {
+		runner := newRunner(t)
+		follower := &reader{}
+		agree := true
+		playRandom(runner, seed, 60, func(random *rand.Rand) {
+			if random.IntN(10) == 0 {
+				restored := New()
+				snapshot, err := runner.directory.Snapshot()
+				require.NoError(t, err)
+				require.NoError(t, restored.Restore(snapshot))
+				require.Equal(t, runner.directory.Digest(), restored.Digest())
+				runner.directory = restored
+			}
+			if random.IntN(3) > 0 {
+				return
+			}
+			follower.take(runner.directory.ChangesSince(follower.revision))
+			whole := &reader{}
+			whole.take(runner.directory.ChangesSince(0))
+			agree = agree && fmt.Sprint(whole.routes) == fmt.Sprint(follower.routes) &&
+				fmt.Sprint(whole.targets) == fmt.Sprint(follower.targets)
+		})
+		return agree
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+func TestReaderThatIsAheadGetsNothing(t *testing.T) {
+	runner := newRunner(t)
+	runner.register(targetAt(1, 1, 1, TargetReady))
+	changes := runner.directory.ChangesSince(50)
+	require.False(t, changes.Whole)
+	require.Empty(t, changes.Targets)
+	require.Less(t, changes.To, changes.From)
+}
+
+func TestMembersThatApplyTheSameAgree(t *testing.T) {
+	first, second := newRunner(t), newRunner(t)
+	playRandom(first, 11, 200, func(*rand.Rand) {})
+	playRandom(second, 11, 200, func(*rand.Rand) {})
+	require.Equal(t, first.directory.Digest(), second.directory.Digest())
+}
+
+func TestUnreadableCommandChangesNothing(t *testing.T) {
+	directory := New()
+	_, err := DecodeResult(directory.Apply(5, time.Time{}, []byte("no command")))
+	require.NoError(t, err)
+	require.Equal(t, model.Revision(5), directory.Revision())
+	require.Empty(t, directory.Targets())
+}
