--- a/internal/direct/registrar/health.go
+++ b/internal/direct/registrar/health.go
@@ -39,6 +39,8 @@
 	failedAt time.Time
 	// proposedAt is when a change of the target was last proposed.
 	proposedAt time.Time
+	// silentProbes counts the leader's own probes in a row without an answer.
+	silentProbes int
 	// witnesses are the processes that found the target silent, with the time.
 	witnesses map[model.NodeName]time.Time
 }
@@ -194,6 +196,7 @@
 		}
 		if renewal.Ago < renewalInterval {
 			known.witnesses = nil
+			known.silentProbes = 0
 		}
 	}
 }
@@ -247,8 +250,10 @@
 	// witnessFor is how long a process's finding counts.
 	witnessFor = 1500 * time.Millisecond
 	// aloneAfter is how long a target may send no renewal before the leader's
-	// own finding is enough.
-	aloneAfter = 3 * time.Second
+	// own finding is enough, and aloneProbes the number of probes in a row
+	// that it takes: one may be lost on the way.
+	aloneAfter  = 3 * time.Second
+	aloneProbes = 2
 )
 
 func (health *Health) takeResults(now time.Time) {
@@ -259,12 +264,14 @@
 		case probe.Refused:
 			health.fail(now, id, "the leader was refused")
 		case probe.Silent:
+			known.silentProbes++
 			health.takeSilence(now, id, health.mailbox.Self)
-			if now.Sub(known.seenAt) > aloneAfter {
+			if known.silentProbes >= aloneProbes && now.Sub(known.seenAt) > aloneAfter {
 				health.fail(now, id, "the leader got no answer, and no renewal came")
 			}
 		case probe.Answered:
 			known.witnesses = nil
+			known.silentProbes = 0
 			known.seenAt = now
 		}
 	}
