--- a/internal/transport/outgoing.go
+++ b/internal/transport/outgoing.go
@@ -68,13 +68,15 @@
 	timing := link.links.options.Timing
 	delay := timing.BackoffLeast
 	connectTimeout := timing.firstConnectTimeout()
-	for ctx.Err() == nil {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
 		established, err := link.connectAndServe(ctx, connectTimeout)
 		if ctx.Err() != nil {
 			return
 		}
-		link.links.options.Logger.Info("link down", zap.String("peer", string(link.peer)),
-			zap.Int("code", int(faults.CodeOf(err))), zap.Error(err))
+		if established || attempt == 0 {
+			link.links.options.Logger.Info("link down", zap.String("peer", string(link.peer)),
+				zap.Int("code", int(faults.CodeOf(err))), zap.Error(err))
+		}
 		connectTimeout = min(2*connectTimeout, timing.ConnectTimeout)
 		if established {
 			delay = timing.BackoffLeast
@@ -101,6 +103,7 @@
 		return false, err
 	}
 	link.connected.Store(true)
+	options.Logger.Info("link up", zap.String("peer", string(link.peer)), zap.String("address", link.currentAddress()))
 	options.Metrics.connections.Inc()
 	defer options.Metrics.connections.Dec()
 	defer link.connected.Store(false)
