--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 # The packages whose code runs on several goroutines. Consensus, rollout and
 # the simulation run their controllers on one, so there a race cannot be.
-RACE_PACKAGES := ./internal/adminapi/... ./internal/agent/... ./internal/balancer/... \
+RACE_PACKAGES := ./internal/direct/... ./internal/logstream/... ./internal/process/... ./platform/... ./internal/adminapi/... ./internal/agent/... ./internal/balancer/... \
 	./internal/board/... ./internal/client/... ./internal/flow/... ./internal/logring/... \
 	./internal/packet/... ./internal/process/... ./internal/standin/... ./internal/steering/... \
 	./internal/transport/...
@@ -43,7 +43,7 @@
 
 .PHONY: lint
 lint: ## Check formatting, vet and staticcheck
-	@unformatted=$$(gofmt -l cmd internal); \
+	@unformatted=$$(gofmt -l cmd internal platform); \
 	if [ -n "$$unformatted" ]; then echo "not gofmt clean:"; echo "$$unformatted"; exit 1; fi
 	go vet ./...
 	go tool staticcheck ./...
--- a/internal/sim/directworld/operator.go
+++ b/internal/sim/directworld/operator.go
@@ -14,7 +14,6 @@
 	world   *World
 	random  *kernel.Random
 	version uint64
-	extra   int
 }
 
 func newOperator(world *World) *operator {
