--- a/internal/faults/codes_direct.go
+++ b/internal/faults/codes_direct.go
@@ -15,6 +15,8 @@
 	ForwardTimeout Code = 8004
 	// SegmentMalformed: a caller's packet cannot be read.
 	SegmentMalformed Code = 8005
+	// LogUnreadable: a log file cannot be read.
+	LogUnreadable Code = 8006
 )
 
 var directDefinitions = []Definition{
@@ -23,4 +25,5 @@
 	{Code: QuorumUnconfirmed, Name: "QuorumUnconfirmed", Meaning: "This member has not heard from a leader with a quorum lately, so it takes and answers nothing.", Action: "Use another member; look for a cut or a loss of members.", HTTPStatus: http.StatusServiceUnavailable, Ran: RanNo},
 	{Code: ForwardTimeout, Name: "ForwardTimeout", Meaning: "The leader did not answer in time; whether the change is committed is not known here.", Action: "Send the same request again; it is applied at most once.", HTTPStatus: http.StatusServiceUnavailable, Ran: RanUnknown},
 	{Code: SegmentMalformed, Name: "SegmentMalformed", Meaning: "A caller's packet is cut short or its lengths disagree.", Action: "None; it was dropped and counted."},
+	{Code: LogUnreadable, Name: "LogUnreadable", Meaning: "A log file cannot be read.", Action: "Name files that hold the structured lines of the processes."},
 }
