--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,12 @@
 fleet-check: build ## Run a short experiment on a fleet of separate processes
 	$(BIN)/merlinbench run --folder "$$(mktemp -d)" --results "$$(mktemp -d)" experiments/ci.yaml
 
+SOAK := 5m
+
+.PHONY: soak
+soak: ## Run real processes under faults from outside, with fresh seeds
+	go test -count=1 -timeout 0 -v -run TestSoak ./platform/platformtest -soak.for=$(SOAK)
+
 .PHONY: lint
 lint: ## Check formatting, vet and staticcheck
 	@unformatted=$$(gofmt -l cmd internal platform); \
