List targets in the order of their tokens

Cause: the digests of the direct scenarios differed between two runs of a seed, because health checks went over a map.

--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -12,7 +12,9 @@
 package directory
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -157,7 +159,7 @@
 	return *target, true
 }
 
-// Targets returns copies of all targets, in no stated order.
+// Targets returns copies of all targets in the order of their tokens.
 func (directory *Directory) Targets() []Target {
 	directory.lock.RLock()
 	defer directory.lock.RUnlock()
@@ -165,5 +167,6 @@
 	for _, target := range directory.targets {
 		targets = append(targets, *target)
 	}
+	slices.SortFunc(targets, func(left, right Target) int { return cmp.Compare(left.Token, right.Token) })
 	return targets
 }
