Spread voters over zones, and want three at the least

Cause: a deployment that tolerates a zone and no single machine would have asked for one voter; learners were promoted without regard to their zones. Change: members tell their zone when they ask for a place; five voters where a zone may be lost.

--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -99,6 +99,7 @@
 	seeds := direct.SeedMembers(chosen.Direct)
 	return replica.NewController(replica.Options{
 		Self:            self,
+		Zone:            model.ZoneName(chosen.Zone),
 		Members:         seeds,
 		Join:            !chosen.Direct.Bootstrap || !slices.Contains(seeds, self),
 		ElectionTimeout: chosen.Direct.ElectionTimeout,
@@ -140,7 +141,9 @@
 }
 
 func provideReconfigure(chosen settings.Settings, group *replica.Controller, logger *zap.Logger) *reconfigure.Controller {
-	return reconfigure.New(reconfigure.DefaultOptions(chosen.Direct.ToleratedLosses), group, logger.Named("membership"))
+	options := reconfigure.DefaultOptions(chosen.Direct.ToleratedLosses)
+	options.ToleratesZone = chosen.Direct.ToleratedZones > 0
+	return reconfigure.New(options, group, logger.Named("membership"))
 }
 
 // memberSource shows the member to its publisher.
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -62,7 +62,7 @@
 }
 
 // AddLearner proposes a new member without a vote. Its ID was never used.
-func (raft *Raft) AddLearner(now time.Time, name model.NodeName) (id MemberID, index, term uint64, err error) {
+func (raft *Raft) AddLearner(now time.Time, name model.NodeName, zone model.ZoneName) (id MemberID, index, term uint64, err error) {
 	raft.observe(now)
 	if err := raft.mayChangeMembership(); err != nil {
 		return 0, 0, 0, err
@@ -70,7 +70,7 @@
 	next := raft.configuration().Clone()
 	id = next.NextID
 	next.NextID++
-	next.Members = append(next.Members, Member{ID: id, Name: name, Learner: true})
+	next.Members = append(next.Members, Member{ID: id, Name: name, Zone: zone, Learner: true})
 	index, term, err = raft.proposeConfiguration(next)
 	return id, index, term, err
 }
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -32,6 +32,8 @@
 	ID      MemberID
 	Name    model.NodeName
 	Learner bool
+	// Zone is the member's failure zone; empty when it is not known.
+	Zone model.ZoneName
 	// Disk is the random number that the member wrote to its empty disk
 	// before it joined. It ties the ID to that disk. Zero means that no disk
 	// has taken the ID yet.
--- a/internal/reconfigure/reconfigure.go
+++ b/internal/reconfigure/reconfigure.go
@@ -26,8 +26,8 @@
 type Group interface {
 	// StatusAt returns the member's status as of now.
 	StatusAt(now time.Time) replica.Status
-	// AddLearner proposes a new member without a vote.
-	AddLearner(name model.NodeName, done func(id replica.MemberID, err error))
+	// AddLearnerIn proposes a new member without a vote.
+	AddLearnerIn(name model.NodeName, zone model.ZoneName, done func(id replica.MemberID, err error))
 	// Promote proposes to make a learner a voter.
 	Promote(id replica.MemberID, done func(err error))
 	// RemoveMember proposes to take a member out.
@@ -37,8 +37,11 @@
 // Options are the bounds of membership.
 type Options struct {
 	// ToleratedLosses is the number of members that may be lost at once; the
-	// group wants twice as many voters and one more.
+	// group wants twice as many voters and one more, and three at the least.
 	ToleratedLosses int
+	// ToleratesZone tells that all members of a zone may be lost at once; the
+	// group then wants five voters at the least, spread over the zones.
+	ToleratesZone bool
 	// SilentAfter is how long a voter may be silent before a learner takes its
 	// place.
 	SilentAfter time.Duration
@@ -129,7 +132,7 @@
 	}
 	switch change.Kind {
 	case ChangeAdd:
-		controller.group.AddLearner(change.Name, func(_ replica.MemberID, err error) { done(err) })
+		controller.group.AddLearnerIn(change.Name, change.Zone, func(_ replica.MemberID, err error) { done(err) })
 	case ChangePromote:
 		controller.group.Promote(change.ID, done)
 	case ChangeRemove:
@@ -158,6 +161,7 @@
 	Kind  ChangeKind
 	ID    replica.MemberID
 	Name  model.NodeName
+	Zone  model.ZoneName
 	Cause string
 }
 
@@ -206,7 +210,20 @@
 	return all, present
 }
 
-func (plan *planner) wantedVoters() int { return 2*plan.options.ToleratedLosses + 1 }
+const (
+	// leastVoters is the least number of voters that a group wants.
+	leastVoters = 3
+	// leastVotersForZones is that number where a zone may be lost.
+	leastVotersForZones = 5
+)
+
+func (plan *planner) wantedVoters() int {
+	wanted := max(leastVoters, 2*plan.options.ToleratedLosses+1)
+	if plan.options.ToleratesZone {
+		wanted = max(wanted, leastVotersForZones)
+	}
+	return wanted
+}
 
 // mayRemoveVoter tells whether the voters that answer are a majority with and
 // without one that does not.
@@ -240,14 +257,26 @@
 	return Change{}
 }
 
-// standby returns a learner that can become a voter at once.
+// standby returns a learner that can become a voter at once: one in the zone
+// that has the fewest voters that answer.
 func (plan *planner) standby() (raft.Peer, bool) {
+	voters := make(map[model.ZoneName]int)
 	for _, peer := range plan.status.Peers {
-		if peer.Learner && peer.CaughtUp && plan.present(peer) {
-			return peer, true
+		if !peer.Learner && plan.present(peer) {
+			voters[peer.Zone]++
+		}
+	}
+	var best raft.Peer
+	found := false
+	for _, peer := range plan.status.Peers {
+		if !peer.Learner || !peer.CaughtUp || !plan.present(peer) {
+			continue
+		}
+		if !found || voters[peer.Zone] < voters[best.Zone] {
+			best, found = peer, true
 		}
 	}
-	return raft.Peer{}, false
+	return best, found
 }
 
 func (plan *planner) promote() Change {
@@ -275,7 +304,7 @@
 func (plan *planner) admit() Change {
 	for _, candidate := range plan.status.Candidates {
 		if !plan.named(candidate.Name) {
-			return Change{Kind: ChangeAdd, Name: candidate.Name, Cause: "an empty disk asks for a place"}
+			return Change{Kind: ChangeAdd, Name: candidate.Name, Zone: candidate.Zone, Cause: "an empty disk asks for a place"}
 		}
 	}
 	return Change{}
--- a/internal/reconfigure/reconfigure_test.go
+++ b/internal/reconfigure/reconfigure_test.go
@@ -31,7 +31,10 @@
 }
 
 func learner(peer *raft.Peer) { peer.Learner = true }
-func behind(peer *raft.Peer)  { peer.CaughtUp = false }
+func in(zone model.ZoneName) func(*raft.Peer) {
+	return func(peer *raft.Peer) { peer.Zone = zone }
+}
+func behind(peer *raft.Peer) { peer.CaughtUp = false }
 func silentFor(duration time.Duration) func(*raft.Peer) {
 	return func(peer *raft.Peer) { peer.HeardAt = now.Add(-duration) }
 }
@@ -50,6 +53,7 @@
 	cases := []struct {
 		name       string
 		losses     int
+		zone       bool
 		peers      []raft.Peer
 		candidates []replica.Candidate
 		want       Change
@@ -74,6 +78,15 @@
 		{name: "two losses want five voters", losses: 2,
 			peers: []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c"), peer(4, "d", learner)},
 			want:  Change{Kind: ChangePromote, ID: 4, Name: "d"}},
+		{name: "no tolerated loss still wants three voters", losses: 0,
+			peers: []raft.Peer{peer(1, "a"), peer(2, "b"), peer(4, "d", learner)},
+			want:  Change{Kind: ChangePromote, ID: 4, Name: "d"}},
+		{name: "a tolerated zone wants five voters", zone: true,
+			peers: []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c"), peer(4, "d", learner)},
+			want:  Change{Kind: ChangePromote, ID: 4, Name: "d"}},
+		{name: "the learner of the zone with the fewest voters is promoted", losses: 2,
+			peers: []raft.Peer{peer(1, "a", in("x")), peer(2, "b", in("y")), peer(3, "c", in("x")), peer(4, "d", learner, in("x")), peer(5, "e", learner, in("y"))},
+			want:  Change{Kind: ChangePromote, ID: 5, Name: "e"}},
 		{name: "lost disk of a voter", losses: 1,
 			peers:      []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c", silentFor(time.Second))},
 			candidates: []replica.Candidate{{Name: "c", Disk: 7, At: now}},
@@ -83,8 +96,8 @@
 			candidates: []replica.Candidate{{Name: "a", Disk: 7, At: now}}},
 		{name: "new member", losses: 1,
 			peers:      []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c")},
-			candidates: []replica.Candidate{{Name: "d", Disk: 7, At: now}},
-			want:       Change{Kind: ChangeAdd, Name: "d"}},
+			candidates: []replica.Candidate{{Name: "d", Zone: "x", Disk: 7, At: now}},
+			want:       Change{Kind: ChangeAdd, Name: "d", Zone: "x"}},
 		{name: "learner that was just added and has not answered yet stays", losses: 1,
 			peers:      []raft.Peer{peer(1, "a"), peer(2, "b"), peer(4, "c", learner, addedFor(100*time.Millisecond))},
 			candidates: []replica.Candidate{{Name: "c", Disk: 400, At: now}}},
@@ -95,7 +108,9 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			status := replica.Status{Self: 1, Leading: true, LeaderSince: began, Peers: test.peers, Candidates: test.candidates}
-			got := Plan(DefaultOptions(test.losses), status, now)
+			options := DefaultOptions(test.losses)
+			options.ToleratesZone = test.zone
+			got := Plan(options, status, now)
 			got.Cause = ""
 			require.Equal(t, test.want, got)
 		})
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -67,6 +67,8 @@
 // Candidate is a process with an empty disk that asks for a place.
 type Candidate struct {
 	Name model.NodeName
+	// Zone is the candidate's failure zone; it may be empty.
+	Zone model.ZoneName
 	// Disk is the random number of the candidate's disk.
 	Disk uint64
 	// At is when it last asked.
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -28,6 +28,7 @@
 	// founding tells that this member may still found the group.
 	founding bool
 	disks    map[model.NodeName]uint64
+	zones    map[model.NodeName]model.ZoneName
 	nextAsk  time.Time
 	// refused tells that the group exists and has no place for this disk.
 	refused bool
@@ -42,6 +43,7 @@
 		identity: identity,
 		founding: options.founder() == options.Self,
 		disks:    make(map[model.NodeName]uint64),
+		zones:    make(map[model.NodeName]model.ZoneName),
 	}
 }
 
@@ -67,10 +69,10 @@
 			joiner.mailbox.Send(name, FoundRequest{Founder: joiner.identity.Disk})
 			continue
 		}
-		joiner.mailbox.Send(name, JoinRequest{Disk: joiner.identity.Disk})
+		joiner.mailbox.Send(name, JoinRequest{Disk: joiner.identity.Disk, Zone: joiner.options.Zone})
 	}
 	if joiner.leader != "" && !slices.Contains(joiner.options.Members, joiner.leader) {
-		joiner.mailbox.Send(joiner.leader, JoinRequest{Disk: joiner.identity.Disk})
+		joiner.mailbox.Send(joiner.leader, JoinRequest{Disk: joiner.identity.Disk, Zone: joiner.options.Zone})
 	}
 }
 
@@ -79,7 +81,7 @@
 	if joiner.founding || from != joiner.options.founder() {
 		return
 	}
-	joiner.mailbox.Send(from, FoundReply{Founder: request.Founder, Disk: joiner.identity.Disk})
+	joiner.mailbox.Send(from, FoundReply{Founder: request.Founder, Disk: joiner.identity.Disk, Zone: joiner.options.Zone})
 }
 
 // takeFoundReply collects a disk number. It returns the founder's identity
@@ -87,6 +89,7 @@
 func (joiner *joiner) takeFoundReply(from model.NodeName, reply FoundReply) {
 	if joiner.founding && reply.Founder == joiner.identity.Disk {
 		joiner.disks[from] = reply.Disk
+		joiner.zones[from] = reply.Zone
 	}
 }
 
@@ -96,6 +99,7 @@
 		return Identity{}, false
 	}
 	joiner.disks[joiner.options.Self] = joiner.identity.Disk
+	joiner.zones[joiner.options.Self] = joiner.options.Zone
 	var configuration raft.Configuration
 	for position, name := range joiner.options.Members {
 		disk, known := joiner.disks[name]
@@ -103,7 +107,7 @@
 			return Identity{}, false
 		}
 		id := raft.MemberID(position + 1)
-		configuration.Members = append(configuration.Members, raft.Member{ID: id, Name: name, Disk: disk})
+		configuration.Members = append(configuration.Members, raft.Member{ID: id, Name: name, Zone: joiner.zones[name], Disk: disk})
 		configuration.NextID = id + 1
 	}
 	identity := joiner.identity
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -92,9 +92,9 @@
 		for _, envelope := range queue.Drain() {
 			switch message := envelope.Message.(type) {
 			case JoinRequest:
-				controller.answerJoiner(now, envelope.From, message.Disk)
+				controller.answerJoiner(now, envelope.From, message)
 			case FoundRequest:
-				controller.answerJoiner(now, envelope.From, message.Founder)
+				controller.answerJoiner(now, envelope.From, JoinRequest{Disk: message.Founder})
 			case PlaceRequest:
 				controller.answerPlace(now, envelope.From, message)
 			case PlaceReply:
@@ -107,7 +107,8 @@
 	}
 }
 
-func (controller *Controller) answerJoiner(now time.Time, from model.NodeName, disk uint64) {
+func (controller *Controller) answerJoiner(now time.Time, from model.NodeName, asked JoinRequest) {
+	disk := asked.Disk
 	configuration := controller.core.CommittedConfiguration()
 	reply := JoinReply{
 		Disk:   disk,
@@ -127,7 +128,7 @@
 		}
 	}
 	if !reply.Accepted {
-		controller.candidates[from] = Candidate{Name: from, Disk: disk, At: now}
+		controller.candidates[from] = Candidate{Name: from, Zone: asked.Zone, Disk: disk, At: now}
 	}
 	controller.mailbox.Send(from, reply)
 }
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -19,11 +19,13 @@
 type FoundReply struct {
 	Founder uint64
 	Disk    uint64
+	Zone    model.ZoneName
 }
 
 // JoinRequest asks a formed member for the sender's place in the group.
 type JoinRequest struct {
 	Disk uint64
+	Zone model.ZoneName
 }
 
 // JoinReply answers a JoinRequest or FoundRequest of a formed group.
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -11,6 +11,8 @@
 type Options struct {
 	// Self is the node name of this member.
 	Self model.NodeName
+	// Zone is the failure zone of this member; it may be empty.
+	Zone model.ZoneName
 	// Members are the first members of the group, this one among them, or,
 	// with Join, the members to ask for a place.
 	Members []model.NodeName
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -26,6 +26,7 @@
 	kind    requestKind
 	command []byte
 	name    model.NodeName
+	zone    model.ZoneName
 	member  MemberID
 	done    func(outcome)
 }
@@ -71,9 +72,15 @@
 
 // AddLearner proposes a new member without a vote and calls done with its ID.
 func (controller *Controller) AddLearner(name model.NodeName, done func(id MemberID, err error)) {
+	controller.AddLearnerIn(name, "", done)
+}
+
+// AddLearnerIn is AddLearner for a member whose zone is known.
+func (controller *Controller) AddLearnerIn(name model.NodeName, zone model.ZoneName, done func(id MemberID, err error)) {
 	controller.enqueue(request{
 		kind: requestAddLearner,
 		name: name,
+		zone: zone,
 		done: func(outcome outcome) { done(outcome.member, outcome.err) },
 	})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,8 +48,10 @@
 	// Packets is the UDP address on which a balancer gets callers' packets.
 	Packets string `koanf:"packets" validate:"omitempty,hostport"`
 	// ToleratedLosses is the number of members that may be lost at once; the
-	// group keeps twice as many voters and one more.
+	// group keeps twice as many voters and one more, and three at the least.
 	ToleratedLosses int `koanf:"tolerated_losses" validate:"min=0,max=4"`
+	// ToleratedZones is the number of zones whose members may be lost at once.
+	ToleratedZones int `koanf:"tolerated_zones" validate:"min=0,max=4"`
 	// ElectionTimeout is the shortest time without a leader before an
 	// election.
 	ElectionTimeout time.Duration `koanf:"election_timeout" validate:"min=50000000"`
