--- a/internal/direct/balancernode/metrics.go
+++ b/internal/direct/balancernode/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -15,10 +16,22 @@
 	malformed   atomic.Uint64
 	packets     *prometheus.Desc
 	malformedAs *prometheus.Desc
+
+	table     *steer.Table
+	revision  *prometheus.Desc
+	version   *prometheus.Desc
+	confirmed *prometheus.Desc
 }
 
-func newMetrics() *metrics {
+func newMetrics(table *steer.Table) *metrics {
 	return &metrics{
+		table: table,
+		revision: prometheus.NewDesc("merlinpaddle_direct_table_revision",
+			"The revision of this balancer's table; 0 without one.", nil, nil),
+		version: prometheus.NewDesc("merlinpaddle_direct_table_version",
+			"The declared version of this balancer's table.", nil, nil),
+		confirmed: prometheus.NewDesc("merlinpaddle_direct_table_confirmed",
+			"1 while a current member confirmed the table lately, else 0.", nil, nil),
 		decisions: make([]atomic.Uint64, len(steer.Reasons())),
 		packets: prometheus.NewDesc("merlinpaddle_direct_packets_total",
 			"Packets of callers, by the reason of the decision.", []string{"reason"}, nil),
@@ -31,6 +44,9 @@
 func (metrics *metrics) Describe(descriptions chan<- *prometheus.Desc) {
 	descriptions <- metrics.packets
 	descriptions <- metrics.malformedAs
+	descriptions <- metrics.revision
+	descriptions <- metrics.version
+	descriptions <- metrics.confirmed
 }
 
 // Collect implements prometheus.Collector.
@@ -39,6 +55,13 @@
 		count := float64(metrics.decisions[reason].Load())
 		collected <- prometheus.MustNewConstMetric(metrics.packets, prometheus.CounterValue, count, reason.String())
 	}
+	confirmed := 0.0
+	if metrics.table.Fresh(time.Now()) {
+		confirmed = 1
+	}
+	collected <- prometheus.MustNewConstMetric(metrics.revision, prometheus.GaugeValue, float64(metrics.table.Revision()))
+	collected <- prometheus.MustNewConstMetric(metrics.version, prometheus.GaugeValue, float64(metrics.table.Version()))
+	collected <- prometheus.MustNewConstMetric(metrics.confirmed, prometheus.GaugeValue, confirmed)
 	malformed := float64(metrics.malformed.Load())
 	collected <- prometheus.MustNewConstMetric(metrics.malformedAs, prometheus.CounterValue, malformed)
 }
--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -80,7 +80,8 @@
 			providePublisher,
 			provideReconfigure,
 		),
-		fx.Invoke(run),
+		fx.Provide(newMetrics),
+		fx.Invoke(func(*metrics) {}, run),
 	)
 }
 
--- a/internal/direct/registrar/proposer.go
+++ b/internal/direct/registrar/proposer.go
@@ -34,6 +34,7 @@
 // call is one proposal, or one read when command is nil.
 type call struct {
 	command  []byte
+	begunAt  time.Time
 	deadline time.Time
 	done     func(Reply, error)
 	// attempt numbers the tries; an outcome of an earlier one is ignored.
@@ -64,6 +65,9 @@
 	group     Group
 	directory *directory.Directory
 
+	// observe is told how each call ended.
+	observe func(ended Ended)
+
 	last uint64
 	// pending has the calls under way by their present attempt, and order
 	// their attempts in the order in which they began.
@@ -71,6 +75,20 @@
 	order   []uint64
 }
 
+// Ended tells how a call ended.
+type Ended struct {
+	// Read tells a read from a proposal.
+	Read bool
+	// Took is the time from the call to its end.
+	Took time.Duration
+	// Err is nil for a success.
+	Err error
+}
+
+// Observe makes observe be told how each call ended. It is set before the
+// first Reconcile and must return at once.
+func (proposer *Proposer) Observe(observe func(ended Ended)) { proposer.observe = observe }
+
 // NewProposer returns the proposer of one member. Attempts are numbered from
 // seed, so that replies to a former life of the process match nothing.
 func NewProposer(mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, group Group, directory *directory.Directory, seed uint64) *Proposer {
@@ -85,6 +103,7 @@
 		directory: directory,
 		last:      seed,
 		pending:   make(map[uint64]*call),
+		observe:   func(Ended) {},
 	}
 }
 
@@ -133,6 +152,7 @@
 func (proposer *Proposer) Reconcile(now time.Time) {
 	proposer.serve()
 	for _, begun := range proposer.calls.Drain() {
+		begun.begunAt = now
 		proposer.try(now, begun)
 	}
 	for _, envelope := range proposer.replies.Drain() {
@@ -212,12 +232,13 @@
 	case ended.err == nil && waiting.command == nil && proposer.directory.Revision() < ended.reply.Revision:
 		waiting.awaited = ended.reply.Revision
 	default:
-		proposer.finish(waiting, ended.reply, ended.err)
+		proposer.finish(now, waiting, ended.reply, ended.err)
 	}
 }
 
-func (proposer *Proposer) finish(ended *call, reply Reply, err error) {
+func (proposer *Proposer) finish(now time.Time, ended *call, reply Reply, err error) {
 	delete(proposer.pending, ended.attempt)
+	proposer.observe(Ended{Read: ended.command == nil, Took: now.Sub(ended.begunAt), Err: err})
 	ended.done(reply, err)
 }
 
@@ -241,9 +262,9 @@
 		}
 		switch {
 		case !now.Before(waiting.deadline):
-			proposer.finish(waiting, Reply{}, overdue(waiting))
+			proposer.finish(now, waiting, Reply{}, overdue(waiting))
 		case waiting.awaited > 0 && proposer.directory.Revision() >= waiting.awaited:
-			proposer.finish(waiting, Reply{}, nil)
+			proposer.finish(now, waiting, Reply{}, nil)
 		case !waiting.retryAt.IsZero() && !now.Before(waiting.retryAt):
 			delete(proposer.pending, attempt)
 			proposer.try(now, waiting)
