--- a/internal/direct/registrar/health.go
+++ b/internal/direct/registrar/health.go
@@ -115,7 +115,7 @@
 	status := health.group.StatusAt(now)
 	renewals := health.takeRenewals(now)
 	if !status.Leading {
-		health.passOn(now, status.Leader, renewals)
+		health.passOn(status.Leader, renewals)
 		health.observed = newObserved()
 		health.since = time.Time{}
 		health.prober.Results.Drain()
@@ -153,6 +153,7 @@
 		return true
 	})
 	health.told = latest
+	health.dropOldRenewals(now)
 	slices.SortFunc(renewals, func(left, right Renewal) int {
 		if left.ID < right.ID {
 			return -1
@@ -162,8 +163,25 @@
 	return renewals
 }
 
+// renewalKept is how long a renewal is remembered at the member that took it.
+const renewalKept = time.Minute
+
+// dropOldRenewals forgets targets that no longer renew here.
+func (health *Health) dropOldRenewals(now time.Time) {
+	var old []directory.TargetID
+	health.renewed.Range(func(id directory.TargetID, row board.Row[time.Time]) bool {
+		if now.Sub(row.Value) > renewalKept {
+			old = append(old, id)
+		}
+		return true
+	})
+	for _, id := range old {
+		health.renewed.Delete(id)
+	}
+}
+
 // passOn sends the leader what this member heard.
-func (health *Health) passOn(_ time.Time, leader model.NodeName, renewals []Renewal) {
+func (health *Health) passOn(leader model.NodeName, renewals []Renewal) {
 	reports := health.reports.Drain()
 	if leader == "" || leader == health.mailbox.Self {
 		return
@@ -306,7 +324,11 @@
 
 // inspect looks at every target for silence, return and age.
 func (health *Health) inspect(now time.Time) {
-	for _, target := range health.directory.Targets() {
+	targets := health.directory.Targets()
+	if len(health.observed) > 2*len(targets)+observedSlack {
+		health.dropForgotten()
+	}
+	for _, target := range targets {
 		known := health.observation(target.ID)
 		switch target.State {
 		case directory.TargetFailed:
@@ -319,6 +341,18 @@
 	}
 }
 
+// observedSlack is how many observations of forgotten targets are left alone.
+const observedSlack = 64
+
+// dropForgotten forgets observations of targets that are not in the directory.
+func (health *Health) dropForgotten() {
+	for id := range health.observed {
+		if _, exists := health.directory.Target(id); !exists {
+			delete(health.observed, id)
+		}
+	}
+}
+
 func (health *Health) probeWhenSilent(now time.Time, target *directory.Target, known *observation, limit time.Duration) {
 	if now.Sub(known.seenAt) >= limit {
 		health.probe(now, target.ID, target.Address)
--- a/internal/direct/registrar/registrar_test.go
+++ b/internal/direct/registrar/registrar_test.go
@@ -375,6 +375,22 @@
 	require.False(t, known)
 }
 
+func TestObservationsAndRenewalsOfForgottenTargetsGo(t *testing.T) {
+	bench := newBench(t)
+	const targets = 3 * observedSlack
+	for id := range directory.TargetID(targets) {
+		bench.registrar.Register(bench.now, ready(id+1, 1), bench.now.Add(time.Second), func(err error) { require.NoError(t, err) })
+	}
+	bench.run(time.Second)
+	for id := range directory.TargetID(targets) {
+		bench.report("one", id+1, feed.VerdictRefused)
+	}
+	bench.run(90 * time.Second)
+	require.Empty(t, bench.group.directory.Targets())
+	require.LessOrEqual(t, len(bench.health.observed), observedSlack)
+	require.Zero(t, bench.health.renewed.Length())
+}
+
 func TestFollowerPassesOnWhatItHears(t *testing.T) {
 	bench := newBench(t)
 	require.NoError(t, bench.register(ready(1, 1)))
