--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -15,7 +15,6 @@
 	"merlinpaddle/internal/board"
 	"merlinpaddle/internal/faults"
 	"merlinpaddle/internal/filesystem"
-	"merlinpaddle/internal/filesystem/disk"
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/process"
 	"merlinpaddle/internal/protocol"
@@ -44,7 +43,7 @@
 		transport.Module(),
 		fx.Provide(
 			state.NewMachine,
-			provideFiles,
+			process.ProvideFolder,
 			provideReplica,
 			replica.NewNode,
 			func(node *replica.Node) replica.Group { return node },
@@ -69,15 +68,6 @@
 	registry.MustRegister(newGroupMetrics(memberStatus{node, member}, time.Now))
 }
 
-func provideFiles(lifecycle fx.Lifecycle, chosen settings.Settings) (filesystem.FileSystem, error) {
-	folder, err := disk.Open(chosen.DataFolder)
-	if err != nil {
-		return nil, err
-	}
-	lifecycle.Append(fx.StopHook(folder.Close))
-	return folder, nil
-}
-
 func provideReplica(chosen settings.Settings, files filesystem.FileSystem, links *transport.Links,
 	mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, machine *state.Machine) (*replica.Controller, error) {
 	options := replica.Options{
@@ -146,7 +136,7 @@
 				})
 			}
 		},
-		func(ctx context.Context) { handOver(ctx, node, logger) },
+		func(ctx context.Context) { node.HandOver(ctx, transferTimeout, logger) },
 	))
 }
 
@@ -170,17 +160,3 @@
 		}
 	}
 }
-
-// handOver gives leadership to another member before a planned stop, so that
-// no election has to wait for this member's silence.
-func handOver(ctx context.Context, node *replica.Node, logger *zap.Logger) {
-	status := node.Status()
-	if !status.Leading || len(status.Members) < 2 {
-		return
-	}
-	transferContext, cancel := context.WithTimeout(ctx, transferTimeout)
-	defer cancel()
-	if err := node.TransferLeadership(transferContext); err != nil {
-		logger.Warn("leadership was not handed over", zap.Int("code", int(faults.CodeOf(err))), zap.Error(err))
-	}
-}
--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -22,7 +22,6 @@
 	"merlinpaddle/internal/direct/probe"
 	"merlinpaddle/internal/direct/registrar"
 	"merlinpaddle/internal/filesystem"
-	"merlinpaddle/internal/filesystem/disk"
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/process"
 	"merlinpaddle/internal/protocol"
@@ -69,7 +68,7 @@
 		transport.ModuleWith(transport.QuickTiming()),
 		fx.Provide(
 			directory.New,
-			provideFiles,
+			process.ProvideFolder,
 			provideReplica,
 			replica.NewNode,
 			registrar.NewRenewed,
@@ -85,15 +84,6 @@
 	)
 }
 
-func provideFiles(lifecycle fx.Lifecycle, chosen settings.Settings) (filesystem.FileSystem, error) {
-	folder, err := disk.Open(chosen.DataFolder)
-	if err != nil {
-		return nil, err
-	}
-	lifecycle.Append(fx.StopHook(folder.Close))
-	return folder, nil
-}
-
 func provideReplica(chosen settings.Settings, files filesystem.FileSystem, mailbox *protocol.Mailbox,
 	dispatcher *protocol.Dispatcher, state *directory.Directory) (*replica.Controller, error) {
 	self := model.NodeName(chosen.Node)
@@ -209,19 +199,6 @@
 				})
 			}
 		},
-		func(ctx context.Context) { handOver(ctx, parts.Node, parts.Logger) },
+		func(ctx context.Context) { parts.Node.HandOver(ctx, transferTimeout, parts.Logger) },
 	))
 }
-
-// handOver gives leadership to another member before a planned stop.
-func handOver(ctx context.Context, node *replica.Node, logger *zap.Logger) {
-	status := node.Status()
-	if !status.Leading || len(status.Members) < 2 {
-		return
-	}
-	transferContext, cancel := context.WithTimeout(ctx, transferTimeout)
-	defer cancel()
-	if err := node.TransferLeadership(transferContext); err != nil {
-		logger.Warn("leadership was not handed over", zap.Error(err))
-	}
-}
--- /dev/null
+++ b/internal/process/folder.go
@@ -0,0 +1,20 @@
+package process
+
+import (
+	"go.uber.org/fx"
+
+	"merlinpaddle/internal/filesystem"
+	"merlinpaddle/internal/filesystem/disk"
+	"merlinpaddle/internal/settings"
+)
+
+// ProvideFolder opens and locks the data folder of the settings and gives it
+// up when the process stops.
+func ProvideFolder(lifecycle fx.Lifecycle, chosen settings.Settings) (filesystem.FileSystem, error) {
+	folder, err := disk.Open(chosen.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	lifecycle.Append(fx.StopHook(folder.Close))
+	return folder, nil
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"merlinpaddle/internal/board"
 	"merlinpaddle/internal/faults"
 	"merlinpaddle/internal/model"
@@ -48,6 +50,20 @@
 	return node.controller.Err()
 }
 
+// HandOver gives leadership to another member before a planned stop, so that no
+// election has to wait for this member's silence. It takes limit at most.
+func (node *Node) HandOver(ctx context.Context, limit time.Duration, logger *zap.Logger) {
+	status := node.Status()
+	if !status.Leading || len(status.Members) < 2 {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := node.TransferLeadership(limited); err != nil {
+		logger.Warn("leadership was not handed over", zap.Int("code", int(faults.CodeOf(err))), zap.Error(err))
+	}
+}
+
 // Watch registers a channel that gets a notice after entries were applied.
 func (node *Node) Watch() <-chan struct{} { return node.controller.Watch() }
 
