--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -32,6 +32,7 @@
 	created := &balancer{world: world}
 	created.process = world.host.Add(endpoint(name, zone), balancerInterval, created.build)
 	created.process.After(func(time.Time) { world.checks.balancerRan(created) })
+	world.skew(created.process)
 	return created
 }
 
--- a/internal/sim/directworld/member.go
+++ b/internal/sim/directworld/member.go
@@ -54,6 +54,7 @@
 	}
 	created.process = world.host.Add(endpoint(name, zone), memberInterval, created.build)
 	created.process.After(func(time.Time) { created.observe() })
+	world.skew(created.process)
 	return created
 }
 
@@ -179,6 +180,7 @@
 // Start starts the process again.
 func (member *Member) Start() {
 	member.world.disturb("start", string(member.process.Name))
+	member.world.skew(member.process)
 	member.process.Start()
 }
 
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -83,6 +83,12 @@
 		summary: "disks of members are full for seconds",
 		play:    fullDisks,
 	},
+	{
+		name:    "direct-clocks",
+		summary: "the clocks of all processes differ by up to an hour and run fast or slow, and members restart and stand still",
+		change:  func(options *Options) { options.Skewed = true },
+		play:    leaderLoss,
+	},
 	{
 		name:    "direct-lost-messages",
 		summary: "a tenth of all control messages is lost, doubled or late, and calls with them",
--- a/internal/sim/directworld/world.go
+++ b/internal/sim/directworld/world.go
@@ -56,7 +56,9 @@
 	TargetsPerZone  int
 	ToleratedLosses int
 	Faults          kernel.LinkFaults
-	Parts           Parts
+	// Skewed gives every process a clock of its own.
+	Skewed bool
+	Parts  Parts
 }
 
 // DefaultOptions returns a small system: three members, four balancers, three
@@ -183,6 +185,17 @@
 	world.run.Trace.Add("story", kind, detail)
 }
 
+// skew gives the process a clock of its own from its next start on.
+func (world *World) skew(process *kernel.Process) {
+	if !world.options.Skewed {
+		return
+	}
+	process.SetClock(kernel.Clock{
+		Offset: world.random.Between(-time.Hour, time.Hour),
+		Drift:  (float64(world.random.Below(2001)) - 1000) / 100_000,
+	})
+}
+
 // calm tells whether nothing was disturbed lately.
 func (world *World) calm() bool { return world.Now().Sub(world.disturbedAt) > settleTime }
 
