--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -41,16 +41,12 @@
 	return fx.Module("direct balancer",
 		fx.Supply(model.RoleBalancer),
 		transport.ModuleWith(transport.QuickTiming()),
-		fx.Provide(provideTable, provideSubscriber, provideSuspects, provideForwarder, newMetrics, newObserver),
+		fx.Provide(newTable, provideSubscriber, provideSuspects, provideForwarder, newMetrics, newObserver),
 		fx.Invoke(run),
 	)
 }
 
-func provideTable(chosen settings.Settings) *steer.Table {
-	options := steer.DefaultOptions()
-	options.Zone = chosen.Zone
-	return steer.NewTable(options)
-}
+func newTable() *steer.Table { return steer.NewTable(steer.DefaultOptions()) }
 
 // linkConnector makes connections to members by their names, which are their
 // addresses.
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -22,8 +22,6 @@
 	// AvoidFor is how long a target that a probe found dead gets no new flows
 	// from this balancer, unless the table says otherwise before.
 	AvoidFor time.Duration
-	// Zone is the balancer's own zone.
-	Zone string
 }
 
 // DefaultOptions returns the bounds of processes.
