Keep a dead target dead when a renewal of it comes late

A renewal with a higher sequence brought a failed target back at once, also one whose address another incarnation had by then: new flows went to the dead one, and probes of its address were answered by the new holder, so that it never failed again.

Sequence numbers do not help: renewals are not committed, so the dead target's latest committed sequence is old.

A registration never brings a failed target back; it only records what it states. The leader brings it back when it renewed and answered a probe after it failed, and no live later incarnation has its address. A later incarnation that misses three renewals while the former one renews counts as dead: its registration came late.

--- a/internal/direct/directory/apply.go
+++ b/internal/direct/directory/apply.go
@@ -88,7 +88,9 @@
 	}
 }
 
-// register adds a target or moves its state forward.
+// register adds a target or moves its state forward. A failed target stays
+// failed, because a renewal may come long after it was sent; what it states is
+// its state once it is found alive.
 func (directory *Directory) register(stated Target) Result {
 	target, known := directory.targets[stated.ID]
 	if !known {
@@ -98,11 +100,10 @@
 		return Result{Token: target.Token}
 	}
 	target.Sequence = stated.Sequence
-	if target.State == TargetFailed {
-		target.State = target.Before
-		target.Revision = directory.revision
-	}
-	if stated.State > target.State {
+	switch {
+	case target.State == TargetFailed:
+		target.Before = max(target.Before, stated.State)
+	case stated.State > target.State:
 		target.State = stated.State
 		target.Revision = directory.revision
 	}
@@ -166,21 +167,22 @@
 	}
 	for _, id := range change.Recovered {
 		target, known := directory.targets[id]
-		if known && target.State == TargetFailed && !directory.replaced(target) {
+		if known && target.State == TargetFailed && directory.successor(target) == nil {
 			target.State = target.Before
 			target.Revision = directory.revision
 		}
 	}
 }
 
-// replaced tells whether a later incarnation has the target's address.
-func (directory *Directory) replaced(target *Target) bool {
+// successor returns the later incarnation that has the target's address and
+// did not fail, or nil.
+func (directory *Directory) successor(target *Target) *Target {
 	for _, other := range directory.targets {
-		if other.Address == target.Address && other.Token > target.Token {
-			return true
+		if other.Address == target.Address && other.Token > target.Token && other.State != TargetFailed {
+			return other
 		}
 	}
-	return false
+	return nil
 }
 
 func (directory *Directory) forget(ids []TargetID) {
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -159,6 +159,22 @@
 	return *target, true
 }
 
+// Successor returns the later incarnation at the target's address, if there is
+// one that did not fail.
+func (directory *Directory) Successor(id TargetID) (TargetID, bool) {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	target, exists := directory.targets[id]
+	if !exists {
+		return 0, false
+	}
+	other := directory.successor(target)
+	if other == nil {
+		return 0, false
+	}
+	return other.ID, true
+}
+
 // Targets returns copies of all targets in the order of their tokens.
 func (directory *Directory) Targets() []Target {
 	directory.lock.RLock()
--- a/internal/direct/registrar/health_inspect.go
+++ b/internal/direct/registrar/health_inspect.go
@@ -11,9 +11,13 @@
 
 // observation is what the leader remembers of a target in memory.
 type observation struct {
-	seenAt   time.Time
-	probedAt time.Time
-	failedAt time.Time
+	// seenAt is when the target last renewed or answered a probe.
+	seenAt time.Time
+	// renewedAt is when it last renewed, and answeredAt when it last answered.
+	renewedAt  time.Time
+	answeredAt time.Time
+	probedAt   time.Time
+	failedAt   time.Time
 	// proposedAt is when a change of the target was last proposed.
 	proposedAt time.Time
 	// silentProbes counts the leader's own probes in a row without an answer.
@@ -56,7 +60,7 @@
 		known := health.observation(target.ID)
 		switch target.State {
 		case directory.TargetFailed:
-			health.inspectFailed(now, target.ID, known)
+			health.inspectFailed(now, &target, known)
 		case directory.TargetLeft:
 			health.probeWhenSilent(now, &target, known, health.options.ProbePause)
 		default:
@@ -83,17 +87,39 @@
 	}
 }
 
-func (health *Health) inspectFailed(now time.Time, id directory.TargetID, known *observation) {
+func (health *Health) inspectFailed(now time.Time, target *directory.Target, known *observation) {
 	if known.failedAt.IsZero() {
 		known.failedAt = now
 	}
 	switch {
-	case known.seenAt.After(known.failedAt):
-		health.logger.Info("target recovered", zap.Uint64("target", uint64(id)), zap.Duration("failed_for", now.Sub(known.failedAt)))
-		known.failedAt = time.Time{}
-		health.propose(now, id, directory.Command{Health: &directory.HealthChange{Recovered: []directory.TargetID{id}}})
 	case now.Sub(known.failedAt) > health.options.ForgetAfter:
-		health.logger.Info("target forgotten", zap.Uint64("target", uint64(id)), zap.Duration("failed_for", now.Sub(known.failedAt)))
-		health.propose(now, id, directory.Command{Forget: &directory.Forgetting{IDs: []directory.TargetID{id}}})
+		health.logger.Info("target forgotten", zap.Uint64("target", uint64(target.ID)), zap.Duration("failed_for", now.Sub(known.failedAt)))
+		health.propose(now, target.ID, directory.Command{Forget: &directory.Forgetting{IDs: []directory.TargetID{target.ID}}})
+	case known.renewedAt.After(known.failedAt):
+		health.reconsider(now, target, known)
 	}
 }
+
+// reconsider looks at a failed target that renews. The renewal may have been
+// sent before the target died, so that it must also answer a probe; and another
+// incarnation may have its address by now, which answers in its place.
+func (health *Health) reconsider(now time.Time, target *directory.Target, known *observation) {
+	if successor, replaced := health.directory.Successor(target.ID); replaced {
+		if known.renewedAt.Sub(health.observation(successor).renewedAt) >= health.options.MissedAfter*missedToYield {
+			health.fail(now, successor, "a former incarnation renews at its address")
+		}
+		return
+	}
+	if !known.answeredAt.After(known.failedAt) {
+		health.probe(now, target.ID, target.Address)
+		return
+	}
+	health.logger.Info("target recovered", zap.Uint64("target", uint64(target.ID)), zap.Duration("failed_for", now.Sub(known.failedAt)))
+	known.failedAt = time.Time{}
+	health.propose(now, target.ID, directory.Command{Health: &directory.HealthChange{Recovered: []directory.TargetID{target.ID}}})
+}
+
+// missedToYield is how many renewals in a row the later incarnation at an
+// address must miss, while the former one renews, before it counts as dead: its
+// registration came late, from a time before the one that renews.
+const missedToYield = 3
--- a/internal/direct/registrar/health_renewals.go
+++ b/internal/direct/registrar/health_renewals.go
@@ -74,14 +74,16 @@
 	}
 }
 
-// note takes renewals in. A failed target that renews after it failed is
-// alive.
+// note takes renewals in.
 func (health *Health) note(now time.Time, renewals []Renewal) {
 	for _, renewal := range renewals {
 		known := health.observation(renewal.ID)
-		seenAt := now.Add(-renewal.Ago)
-		if seenAt.After(known.seenAt) {
-			known.seenAt = seenAt
+		renewedAt := now.Add(-renewal.Ago)
+		if renewedAt.After(known.renewedAt) {
+			known.renewedAt = renewedAt
+		}
+		if renewedAt.After(known.seenAt) {
+			known.seenAt = renewedAt
 		}
 		if renewal.Ago < renewalInterval {
 			known.witnesses = nil
--- a/internal/direct/registrar/health_verdict.go
+++ b/internal/direct/registrar/health_verdict.go
@@ -84,6 +84,7 @@
 			known.witnesses = nil
 			known.silentProbes = 0
 			known.seenAt = now
+			known.answeredAt = now
 		}
 	}
 }
