Simulate late renewals and targets that leave without draining

Scenario direct-late-calls: targets call Leave first and serve on; renewals of targets that died, silently or not, come 1 to 6 s late, with and without another incarnation at their address. A new check demands that in calm no balancer sends a new flow to a target that died more than 7 s ago.

The renewal must be recent, and the answer come after it.

--- a/internal/direct/registrar/health.go
+++ b/internal/direct/registrar/health.go
@@ -42,9 +42,12 @@
 	logger    *zap.Logger
 
 	observed map[directory.TargetID]*observation
-	since    time.Time
-	term     uint64
-	toldAt   time.Time
+	// now is the time of the present Reconcile.
+	now time.Time
+	// since is when this member began to lead.
+	since  time.Time
+	term   uint64
+	toldAt time.Time
 }
 
 // NewHealth returns the failure detector of one member.
@@ -78,6 +81,7 @@
 
 // Reconcile implements board.Controller.
 func (health *Health) Reconcile(now time.Time) {
+	health.now = now
 	status := health.group.StatusAt(now)
 	renewals := health.takeRenewals(now)
 	if !status.Leading {
--- a/internal/direct/registrar/health_inspect.go
+++ b/internal/direct/registrar/health_inspect.go
@@ -41,10 +41,12 @@
 	return len(known.witnesses)
 }
 
+// observation returns what is remembered of the target. One that is new to the
+// leader counts as heard from just now.
 func (health *Health) observation(id directory.TargetID) *observation {
 	known := health.observed[id]
 	if known == nil {
-		known = &observation{seenAt: health.since}
+		known = &observation{seenAt: health.now, renewedAt: health.now}
 		health.observed[id] = known
 	}
 	return known
@@ -95,13 +97,13 @@
 	case now.Sub(known.failedAt) > health.options.ForgetAfter:
 		health.logger.Info("target forgotten", zap.Uint64("target", uint64(target.ID)), zap.Duration("failed_for", now.Sub(known.failedAt)))
 		health.propose(now, target.ID, directory.Command{Forget: &directory.Forgetting{IDs: []directory.TargetID{target.ID}}})
-	case known.renewedAt.After(known.failedAt):
+	case known.renewedAt.After(known.failedAt) && now.Sub(known.renewedAt) <= health.options.MissedAfter:
 		health.reconsider(now, target, known)
 	}
 }
 
 // reconsider looks at a failed target that renews. The renewal may have been
-// sent before the target died, so that it must also answer a probe; and another
+// sent before the target died, so that it must then answer a probe; and another
 // incarnation may have its address by now, which answers in its place.
 func (health *Health) reconsider(now time.Time, target *directory.Target, known *observation) {
 	if successor, replaced := health.directory.Successor(target.ID); replaced {
@@ -110,7 +112,7 @@
 		}
 		return
 	}
-	if !known.answeredAt.After(known.failedAt) {
+	if !known.answeredAt.After(known.renewedAt) {
 		health.probe(now, target.ID, target.Address)
 		return
 	}
--- a/internal/sim/directworld/checks.go
+++ b/internal/sim/directworld/checks.go
@@ -140,6 +140,7 @@
 	if !world.calm() || !packet.opening || world.Now().Sub(balancer.startedAt) < settleTime {
 		return
 	}
+	checks.choseDead(balancer, decision)
 	version := balancer.table.Version()
 	for acknowledged, at := range checks.acknowledgedAt {
 		if acknowledged > version && world.Now().Sub(at) > applyBound {
@@ -150,6 +151,24 @@
 	}
 }
 
+// deathBound is how long after a target's death new flows may go to it.
+const deathBound = 7 * time.Second
+
+// choseDead judges a new flow's target that died, or lost its address to
+// another one, long ago.
+func (checks *checks) choseDead(balancer *balancer, decision steer.Decision) {
+	if decision.Action != steer.Forward {
+		return
+	}
+	for _, target := range checks.world.targets {
+		dead := !target.alive && checks.world.Now().Sub(target.diedAt) > deathBound
+		if target.id == decision.ID && dead {
+			checks.violate(checker.InvariantProgress, "%s sends a new flow to %s, which died %s ago",
+				balancer.process.Name, target.address, checks.world.Now().Sub(target.diedAt))
+		}
+	}
+}
+
 // opened judges a target that takes a new flow.
 func (checks *checks) opened(through *balancer, target *target, packet packet) {
 	world := checks.world
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -53,6 +53,11 @@
 		summary: "targets crash, fall silent, and their addresses go to another service while flows are open",
 		play:    targetDeaths,
 	},
+	{
+		name:    "direct-late-calls",
+		summary: "targets leave without draining, and renewals of targets that died, or whose address another one has, come seconds late",
+		play:    lateCalls,
+	},
 	{
 		name:    "direct-leader-loss",
 		summary: "the leader is killed, loses power or stands still again and again under racing operators",
@@ -172,6 +177,28 @@
 	}
 }
 
+func lateCalls(world *World) {
+	for range 4 {
+		leaving := world.livingTargets(3)
+		for place, target := range leaving {
+			world.AddTarget(target.service, target.zone)
+			if place == 0 {
+				target.LeaveFirst()
+				continue
+			}
+			world.disturb("death", target.address.String())
+			target.repeatLate(world.random.Between(time.Second, 6*time.Second))
+			target.Die(place == 1)
+			if place == 1 {
+				address, zone := target.address, target.zone
+				service := target.service
+				world.after(2*time.Second, func() { world.addTargetAt(service, zone, address) })
+			}
+		}
+		world.RunFor(14 * time.Second)
+	}
+}
+
 func leaderLoss(world *World) {
 	for range 5 {
 		leader := world.leader()
--- a/internal/sim/directworld/target.go
+++ b/internal/sim/directworld/target.go
@@ -77,10 +77,7 @@
 func (target *target) register() {
 	world := target.world
 	target.sequence++
-	stated := directory.Target{
-		ID: target.id, Service: target.service, Address: target.address, Zone: string(target.zone),
-		Capacity: 2, State: target.state, Sequence: target.sequence,
-	}
+	stated := target.stated()
 	world.call(target.endpoint(), world.members[target.member%len(world.members)],
 		func(member *Member, now, deadline time.Time, done func(error)) {
 			member.Registrar.Register(now, stated, deadline, done)
@@ -96,6 +93,14 @@
 		})
 }
 
+// stated is the registration that the target would send now.
+func (target *target) stated() directory.Target {
+	return directory.Target{
+		ID: target.id, Service: target.service, Address: target.address, Zone: string(target.zone),
+		Capacity: 2, State: target.state, Sequence: target.sequence,
+	}
+}
+
 // retry calls the next member soon when a drain was not acknowledged.
 func (target *target) retry(state directory.TargetState) {
 	if state == directory.TargetDraining && target.leavingAckedAt.IsZero() && target.alive {
@@ -149,6 +154,44 @@
 	world.after(500*time.Millisecond, func() { target.Die(false) })
 }
 
+// LeaveFirst makes the target leave as planned without draining: it leaves
+// until that is acknowledged, serves on and ends.
+func (target *target) LeaveFirst() {
+	target.state = directory.TargetLeft
+	target.world.run.Trace.Add(target.address.String(), "leaves first", "")
+	target.leaveUntilAcknowledged()
+}
+
+func (target *target) leaveUntilAcknowledged() {
+	world := target.world
+	world.call(target.endpoint(), kernel.Pick(world.random, world.members),
+		func(member *Member, now, deadline time.Time, done func(error)) {
+			member.Registrar.Leave(now, target.id, deadline, done)
+		}, func(err error) {
+			if err != nil {
+				world.after(50*time.Millisecond, target.leaveUntilAcknowledged)
+				return
+			}
+			target.leavingAckedAt = world.Now()
+			world.after(7*time.Second, func() { target.Die(false) })
+		})
+}
+
+// repeatLate lets a copy of the target's next renewal arrive after a delay,
+// whatever became of the target meanwhile.
+func (target *target) repeatLate(delay time.Duration) {
+	target.sequence++
+	stated := target.stated()
+	world := target.world
+	world.after(delay, func() {
+		world.run.Trace.Add(target.address.String(), "late renewal", "")
+		world.call(target.endpoint(), kernel.Pick(world.random, world.members),
+			func(member *Member, now, deadline time.Time, done func(error)) {
+				member.Registrar.Register(now, stated, deadline, done)
+			}, func(error) {})
+	})
+}
+
 // Die ends the target at once. A silent one's machine is gone too.
 func (target *target) Die(silent bool) {
 	if !target.alive {
