Let balancers follow each other's feed of the table

A shorter silence limit: no member can be reached at all. Trusting a silent target's port less: the balancer cannot tell a full target from one that is gone.

A balancer publishes its table with the member's own publisher (feed.Replica keeps recent changes and combines them for those behind). Members tell each balancer of four others, two of its zone and two of others, and each other of their followers. A balancer without a member follows one of these, tries a member each second and returns to it. The age of a quorum's word travels along and only grows, and the number of balancers on the way is bounded, so that circles dissolve. Members feed at most direct.followers balancers (64) and send the rest to others; a balancer feeds at most direct.peer_followers (16).

--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -1,8 +1,8 @@
 // Package balancernode is the fx module of a balancer of direct services.
 //
-// It provides model.Role, *steer.Table, *feed.Subscriber, *forwarder.Suspects
-// and *forwarder.Forwarder, includes transport.Module, and needs a
-// forwarder.Codec besides what the process base provides.
+// It provides model.Role, *steer.Table, *feed.Subscriber, *feed.Publisher,
+// *forwarder.Suspects and *forwarder.Forwarder, includes transport.Module, and
+// needs a forwarder.Codec besides what the process base provides.
 package balancernode
 
 import (
@@ -30,6 +30,8 @@
 const (
 	// subscribeInterval is how often the subscriber runs without a notice.
 	subscribeInterval = 40 * time.Millisecond
+	// publishInterval is how often the publisher runs without a notice.
+	publishInterval = time.Second
 	// suspectsInterval is how often suspicions are looked at without a notice.
 	suspectsInterval = time.Second
 	// bytesPerMegabit turns a rate in Mbit/s into bytes a second.
@@ -43,31 +45,65 @@
 	return fx.Module("direct balancer",
 		fx.Supply(model.RoleBalancer),
 		transport.ModuleWith(transport.QuickTiming()),
-		fx.Provide(newTable, provideSubscriber, provideSuspects, provideForwarder, newMetrics, newObserver),
-		fx.Invoke(run),
+		fx.Provide(newTable, provideSubscriber, provideReplica, providePublisher, provideReports, provideSuspects, provideForwarder, newMetrics, newObserver),
+		fx.Provide(newChangeListeners),
+		fx.Invoke(reportChanges, run),
 	)
 }
 
 func newTable() *steer.Table { return steer.NewTable(steer.DefaultOptions()) }
 
-// linkConnector makes connections to members by their names, which are their
-// addresses.
+// linkConnector makes connections to members and balancers by their names,
+// which are their addresses.
 type linkConnector struct {
 	links *transport.Links
 }
 
 // Connect implements feed.Connector.
-func (connector linkConnector) Connect(member model.NodeName) {
-	connector.links.Dial(direct.Peer(member))
+func (connector linkConnector) Connect(node model.NodeName) {
+	connector.links.Dial(direct.Peer(node))
 }
 
 // Disconnect implements feed.Connector.
-func (connector linkConnector) Disconnect(member model.NodeName) { connector.links.Hangup(member) }
+func (connector linkConnector) Disconnect(node model.NodeName) { connector.links.Hangup(node) }
 
 func provideSubscriber(chosen settings.Settings, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher,
-	table *steer.Table, links *transport.Links, readiness *process.Readiness, logger *zap.Logger) *feed.Subscriber {
+	table *steer.Table, links *transport.Links, changed *changeListeners) *feed.Subscriber {
+	return feed.NewSubscriber(feed.SubscriberOptions{
+		Seeds:    direct.SeedMembers(chosen.Direct),
+		Zone:     model.ZoneName(chosen.Zone),
+		Serves:   servesPeers(chosen),
+		OnChange: changed.notify,
+	}, mailbox, dispatcher, table, linkConnector{links: links})
+}
+
+// servesPeers tells whether other balancers may follow this one.
+func servesPeers(chosen settings.Settings) bool {
+	return chosen.Listen != "" && chosen.Direct.PeerFollowers > 0
+}
+
+// changeListeners are told of each update that changed the table.
+type changeListeners struct {
+	listeners []func(changes directory.Changes, from model.NodeName)
+}
+
+func newChangeListeners() *changeListeners { return &changeListeners{} }
+
+// add registers a listener; it is called before the first update comes.
+func (changed *changeListeners) add(listener func(changes directory.Changes, from model.NodeName)) {
+	changed.listeners = append(changed.listeners, listener)
+}
+
+func (changed *changeListeners) notify(changes directory.Changes, from model.NodeName) {
+	for _, listener := range changed.listeners {
+		listener(changes, from)
+	}
+}
+
+// reportChanges says in the log and in the readiness what changed.
+func reportChanges(changed *changeListeners, table *steer.Table, readiness *process.Readiness, logger *zap.Logger) {
 	logger = logger.Named("table")
-	onChange := func(changes directory.Changes, from model.NodeName) {
+	changed.add(func(changes directory.Changes, from model.NodeName) {
 		readiness.Set(readinessPart, table.Serving())
 		logger.Info("table changed",
 			zap.Uint64("revision", uint64(changes.To)),
@@ -76,9 +112,22 @@
 			zap.Int("targets", len(changes.Targets)),
 			zap.Int("routes", len(changes.Routes)),
 			zap.Int("removed", len(changes.Removed)),
-			zap.String("member", string(from)))
-	}
-	return feed.NewSubscriber(mailbox, dispatcher, table, linkConnector{links: links}, direct.SeedMembers(chosen.Direct), onChange)
+			zap.String("from", string(from)))
+	})
+}
+
+func provideReplica(table *steer.Table, subscriber *feed.Subscriber, changed *changeListeners) *feed.Replica {
+	replica := feed.NewReplica(table, subscriber)
+	changed.add(func(changes directory.Changes, _ model.NodeName) { replica.Took(changes) })
+	return replica
+}
+
+func providePublisher(chosen settings.Settings, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, replica *feed.Replica) *feed.Publisher {
+	return feed.NewPublisher(feed.PublisherOptions{Limit: chosen.Direct.PeerFollowers}, mailbox, dispatcher, replica, replica)
+}
+
+func provideReports(mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, subscriber *feed.Subscriber) *feed.Reports {
+	return feed.NewReports(mailbox, dispatcher, subscriber.Following)
 }
 
 func provideSuspects(table *steer.Table, mailbox *protocol.Mailbox, subscriber *feed.Subscriber, logger *zap.Logger) *forwarder.Suspects {
@@ -104,6 +153,9 @@
 	Registry   *prometheus.Registry
 	Metrics    *metrics
 	Subscriber *feed.Subscriber
+	Table      *steer.Table
+	Publisher  *feed.Publisher
+	Reports    *feed.Reports
 	Suspects   *forwarder.Suspects
 	Forwarder  *forwarder.Forwarder
 	Reloads    *process.Reloads
@@ -118,6 +170,9 @@
 	})
 	runners := []*board.Runner{
 		board.NewRunner(parts.Subscriber, subscribeInterval, parts.Subscriber.Sources()...),
+		board.NewRunner(parts.Publisher, publishInterval,
+			append(parts.Publisher.Sources(), parts.Table.Watch(), parts.Table.WatchConfirmed())...),
+		board.NewRunner(parts.Reports, time.Second, parts.Reports.Sources()...),
 		board.NewRunner(parts.Suspects, suspectsInterval, parts.Suspects.Sources()...),
 	}
 	parts.Lifecycle.Append(fx.StartStopHook(
--- a/internal/direct/feed/feed.go
+++ b/internal/direct/feed/feed.go
@@ -6,30 +6,68 @@
 // and a sign of life at an interval. A member that says nothing for a while,
 // or that has lost its quorum, is left for another one. A balancer's table
 // never goes back, whichever member it follows.
+//
+// Balancers pass the feed on: members tell each balancer of a few others, and
+// a balancer that reaches no member, or whose members feed as many as they may,
+// follows another balancer. What it learns there is as old as that balancer's
+// own last word of a member; the age travels along and only grows, so that two
+// balancers that are cut off together confirm nothing to each other. The
+// number of balancers on the way travels along too and is bounded, so that
+// balancers which follow each other in a circle notice it.
 package feed
 
 import (
+	"time"
+
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/protocol"
 )
 
-// Subscribe asks a member for what changed after Have. Balancers repeat it.
+// Subscribe asks a member, or another balancer, for what changed after Have.
+// Balancers repeat it.
 type Subscribe struct {
 	Have model.Revision
+	// Zone is the balancer's zone.
+	Zone model.ZoneName
+	// Serves tells that other balancers may follow this one, at its name.
+	Serves bool
 }
 
 // Update answers a Subscribe, and follows each commit.
 type Update struct {
 	Changes directory.Changes
-	// Fresh tells that the member leads with a confirmed quorum, or heard from
-	// such a leader just now.
+	// Fresh tells that the sender knows of a confirmed quorum: as a member that
+	// leads or hears its leader, or as a balancer that follows such a member.
 	Fresh bool
+	// Age is how long ago the quorum was confirmed.
+	Age time.Duration
+	// Depth is the number of balancers between the sender and the member that
+	// it hears of: zero for a member.
+	Depth uint8
+	// Elsewhere tells that the sender feeds as many as it may; this answer is
+	// its only one, and the balancer is to follow another node.
+	Elsewhere bool
+	// Peers are balancers to follow when no member can be reached; set when
+	// they changed since the last update to this balancer.
+	Peers []model.NodeName
 	// Members are the names of the group's members; set when they changed
 	// since the last update to this balancer.
 	Members []model.NodeName
 }
 
+// Peer is a balancer that others may follow, at its name.
+type Peer struct {
+	Name model.NodeName
+	Zone model.ZoneName
+}
+
+// Followers tells the other members which balancers follow this one, so that
+// each can tell its own followers of enough others.
+type Followers struct {
+	Peers []Peer
+}
+
 // Verdict is what a balancer found out about a target that did not answer.
 type Verdict uint8
 
@@ -53,9 +91,12 @@
 	}
 }
 
-// HealthReport tells the member that a balancer follows about a target that a
-// probe found dead. Members pass it on to the leader.
+// HealthReport tells the node that a balancer follows about a target that a
+// probe found dead. Balancers pass it on to the node that they follow, members
+// to the leader.
 type HealthReport struct {
+	// Hops is the number of balancers that passed the report on.
+	Hops    uint8
 	ID      directory.TargetID
 	Verdict Verdict
 	// Balancer is the balancer that probed.
@@ -66,4 +107,5 @@
 	protocol.RegisterAs("ds", Subscribe{})
 	protocol.RegisterAs("du", Update{})
 	protocol.RegisterAs("dh", HealthReport{})
+	protocol.RegisterAs("df", Followers{})
 }
--- a/internal/direct/feed/feed_test.go
+++ b/internal/direct/feed/feed_test.go
@@ -26,8 +26,11 @@
 	index      model.Revision
 }
 
-// Fresh implements Source.
-func (member *member) Fresh(time.Time) bool { return member.fresh }
+// Confirmed implements Source.
+func (member *member) Confirmed(time.Time) (time.Duration, bool) { return 0, member.fresh }
+
+// Depth implements Source.
+func (member *member) Depth() uint8 { return 0 }
 
 // Members implements Source.
 func (member *member) Members() []model.NodeName { return []model.NodeName{"a", "b"} }
@@ -35,7 +38,7 @@
 func newMember(name model.NodeName) *member {
 	created := &member{mailbox: protocol.NewMailbox(name), directory: directory.New(), fresh: true}
 	created.dispatcher = protocol.NewDispatcher(created.mailbox)
-	created.publisher = NewPublisher(created.mailbox, created.dispatcher, created.directory, created)
+	created.publisher = NewPublisher(PublisherOptions{Limit: 64, TellsMembers: true}, created.mailbox, created.dispatcher, created.directory, created)
 	return created
 }
 
@@ -87,7 +90,7 @@
 		seeds = append(seeds, member.mailbox.Self)
 	}
 	made.dispatcher = protocol.NewDispatcher(made.mailbox)
-	made.subscriber = NewSubscriber(made.mailbox, made.dispatcher, made.table, made.connected, seeds, nil)
+	made.subscriber = NewSubscriber(SubscriberOptions{Seeds: seeds}, made.mailbox, made.dispatcher, made.table, made.connected)
 	return made
 }
 
--- a/internal/direct/feed/publisher.go
+++ b/internal/direct/feed/publisher.go
@@ -13,6 +13,9 @@
 const (
 	// keepaliveInterval is the time between two signs of life to a balancer.
 	keepaliveInterval = 250 * time.Millisecond
+	// keepaliveSlack is how much earlier a sign of life may go out, so that a
+	// balancer passes one on as soon as it came.
+	keepaliveSlack = 30 * time.Millisecond
 	// subscriptionFor is how long a balancer counts as a follower after its
 	// last subscription.
 	subscriptionFor = 4 * time.Second
@@ -21,40 +24,76 @@
 	pushPause = 15 * time.Millisecond
 )
 
-// Source is what a publisher reads of its member.
+// Store has what a publisher sends.
+type Store interface {
+	// Revision returns the revision of the latest change.
+	Revision() model.Revision
+	// ChangesSince returns what changed after a revision.
+	ChangesSince(from model.Revision) directory.Changes
+}
+
+// Source is what a publisher reads of its node.
 type Source interface {
-	// Fresh tells whether the member knows of a confirmed quorum at now.
-	Fresh(now time.Time) bool
+	// Confirmed returns how long ago a quorum was confirmed, and whether that
+	// is recent enough for the store to count as current at now.
+	Confirmed(now time.Time) (time.Duration, bool)
 	// Members returns the names of the group's members, sorted.
 	Members() []model.NodeName
+	// Depth returns the number of balancers between this node and the member
+	// that it hears of: zero for a member.
+	Depth() uint8
 }
 
-// follower is one balancer that follows this member.
+// follower is one balancer that follows this node.
 type follower struct {
 	heardAt time.Time
 	sentAt  time.Time
 	sent    model.Revision
 	fresh   bool
 	members []model.NodeName
+	peers   []model.NodeName
+	zone    model.ZoneName
+	serves  bool
 }
 
-// Publisher is the controller that sends the directory to balancers.
+// Publisher is the controller that sends a node's store to balancers.
 type Publisher struct {
 	mailbox       *protocol.Mailbox
 	subscriptions *board.Queue[protocol.Envelope]
-	directory     *directory.Directory
+	others        *board.Queue[protocol.Envelope]
+	store         Store
 	source        Source
+	options       PublisherOptions
 	followers     map[model.NodeName]*follower
+	// refused are the balancers that were told to follow another node, and get
+	// one answer each.
+	refused map[model.NodeName]*follower
+	// peers chooses the balancers that each follower is told of.
+	peers peerBook
+	// toldAt is when the other members were last told of the followers.
+	toldAt time.Time
+}
+
+// PublisherOptions are what a publisher works with.
+type PublisherOptions struct {
+	// Limit bounds the balancers that are fed.
+	Limit int
+	// TellsMembers tells that the node is a member, which tells the other
+	// members of its followers.
+	TellsMembers bool
 }
 
-// NewPublisher returns the publisher of one member.
-func NewPublisher(mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, directory *directory.Directory, source Source) *Publisher {
+// NewPublisher returns the publisher of one node.
+func NewPublisher(options PublisherOptions, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, store Store, source Source) *Publisher {
 	return &Publisher{
 		mailbox:       mailbox,
 		subscriptions: dispatcher.Handle(Subscribe{}),
-		directory:     directory,
+		others:        dispatcher.Handle(Followers{}),
+		store:         store,
 		source:        source,
+		options:       options,
 		followers:     make(map[model.NodeName]*follower),
+		refused:       make(map[model.NodeName]*follower),
 	}
 }
 
@@ -66,44 +105,122 @@
 	return []<-chan struct{}{publisher.subscriptions.Watch()}
 }
 
-// Followers returns the number of balancers that follow this member.
+// Followers returns the number of balancers that follow this node.
 func (publisher *Publisher) Followers() int { return len(publisher.followers) }
 
 // Reconcile implements board.Controller.
 func (publisher *Publisher) Reconcile(now time.Time) {
 	publisher.takeSubscriptions(now)
-	revision := publisher.directory.Revision()
-	fresh := publisher.source.Fresh(now)
-	members := publisher.source.Members()
-	var same directory.Changes
+	publisher.takeOthers(now)
+	publisher.dropSilent(now)
+	publisher.tellMembers(now)
+	batch := batch{
+		store:    publisher.store,
+		revision: publisher.store.Revision(),
+		members:  publisher.source.Members(),
+		depth:    publisher.source.Depth(),
+	}
+	batch.age, batch.fresh = publisher.source.Confirmed(now)
 	for _, name := range sortedNames(publisher.followers) {
 		known := publisher.followers[name]
+		if known.due(now, batch.revision, batch.fresh) {
+			publisher.push(now, name, known, batch.update(known.sent))
+		}
+	}
+	for _, name := range sortedNames(publisher.refused) {
+		update := batch.update(publisher.refused[name].sent)
+		update.Elsewhere = true
+		publisher.push(now, name, publisher.refused[name], update)
+	}
+	clear(publisher.refused)
+}
+
+// dropSilent forgets followers that no longer subscribe.
+func (publisher *Publisher) dropSilent(now time.Time) {
+	for name, known := range publisher.followers {
 		if now.Sub(known.heardAt) > subscriptionFor {
 			delete(publisher.followers, name)
-			continue
 		}
-		if !known.due(now, revision, fresh) {
-			continue
+	}
+	publisher.peers.dropOld(now)
+}
+
+const (
+	// tellInterval is the time between two messages to the other members.
+	tellInterval = 2 * time.Second
+	// toldPeers bounds the balancers that the other members are told of.
+	toldPeers = 32
+)
+
+// takeOthers takes in which balancers follow other members.
+func (publisher *Publisher) takeOthers(now time.Time) {
+	for _, envelope := range publisher.others.Drain() {
+		message, _ := envelope.Message.(Followers)
+		for _, told := range message.Peers {
+			publisher.peers.hear(told, now)
 		}
-		if same.To != revision || same.From != known.sent || same.To == 0 {
-			same = publisher.directory.ChangesSince(known.sent)
+	}
+}
+
+// tellMembers tells the other members of the followers that others may follow.
+func (publisher *Publisher) tellMembers(now time.Time) {
+	if !publisher.options.TellsMembers || now.Sub(publisher.toldAt) < tellInterval {
+		return
+	}
+	publisher.toldAt = now
+	var told []Peer
+	for _, name := range sortedNames(publisher.followers) {
+		if known := publisher.followers[name]; known.serves && len(told) < toldPeers {
+			told = append(told, Peer{Name: name, Zone: known.zone})
+		}
+	}
+	for _, member := range publisher.source.Members() {
+		if member != publisher.mailbox.Self && len(told) > 0 {
+			publisher.mailbox.Send(member, Followers{Peers: told})
 		}
-		publisher.push(now, name, known, Update{Changes: same, Fresh: fresh, Members: members})
 	}
 }
 
+// batch makes the updates of one Reconcile; followers that are at the same
+// revision share their changes.
+type batch struct {
+	store    Store
+	revision model.Revision
+	age      time.Duration
+	fresh    bool
+	members  []model.NodeName
+	depth    uint8
+	same     directory.Changes
+	from     model.Revision
+	made     bool
+}
+
+func (batch *batch) update(from model.Revision) Update {
+	if !batch.made || batch.from != from {
+		batch.same = batch.store.ChangesSince(from)
+		batch.from = from
+		batch.made = true
+	}
+	return Update{Changes: batch.same, Fresh: batch.fresh, Age: batch.age, Depth: batch.depth, Members: batch.members}
+}
+
 func (publisher *Publisher) takeSubscriptions(now time.Time) {
 	for _, envelope := range publisher.subscriptions.Drain() {
 		asked, _ := envelope.Message.(Subscribe)
 		known := publisher.followers[envelope.From]
-		if known == nil {
+		switch {
+		case known != nil:
+		case len(publisher.followers) >= publisher.options.Limit:
+			known = &follower{}
+			publisher.refused[envelope.From] = known
+		default:
 			known = &follower{}
 			publisher.followers[envelope.From] = known
 		}
-		known.heardAt = now
-		known.sent = asked.Have
-		known.sentAt = time.Time{}
-		known.members = nil
+		if asked.Serves {
+			publisher.peers.hear(Peer{Name: envelope.From, Zone: asked.Zone}, now)
+		}
+		*known = follower{heardAt: now, sent: asked.Have, zone: asked.Zone, serves: asked.Serves}
 	}
 }
 
@@ -111,7 +228,7 @@
 func (known *follower) due(now time.Time, revision model.Revision, fresh bool) bool {
 	since := now.Sub(known.sentAt)
 	changed := revision > known.sent || fresh != known.fresh
-	return since >= keepaliveInterval || changed && since >= pushPause
+	return since >= keepaliveInterval-keepaliveSlack || changed && since >= pushPause
 }
 
 func (publisher *Publisher) push(now time.Time, name model.NodeName, known *follower, update Update) {
@@ -120,6 +237,10 @@
 	} else {
 		known.members = update.Members
 	}
+	if peers := publisher.peers.choose(name, known.zone); !slices.Equal(known.peers, peers) {
+		update.Peers = peers
+		known.peers = peers
+	}
 	known.sent = max(known.sent, update.Changes.To)
 	known.sentAt = now
 	known.fresh = update.Fresh
--- a/internal/direct/feed/subscriber.go
+++ b/internal/direct/feed/subscriber.go
@@ -21,57 +21,80 @@
 	// searchInterval is the time between two subscriptions while there is no
 	// table, and between two members that are tried.
 	searchInterval = 40 * time.Millisecond
-	// silenceLimit is how long the followed member may be silent, or without a
-	// quorum, before another one is tried.
+	// silenceLimit is how old the word of a quorum may get before another node
+	// is tried.
 	silenceLimit = 700 * time.Millisecond
+	// returnInterval is the time between two members that are tried while a
+	// balancer is followed.
+	returnInterval = time.Second
+	// maximumDepth bounds the balancers between a balancer and the member that
+	// it hears of.
+	maximumDepth = 4
 )
 
-// Connector makes and closes connections to members.
+// Connector makes and closes connections to members and balancers.
 type Connector interface {
-	// Connect keeps a connection to the member from now on.
-	Connect(member model.NodeName)
+	// Connect keeps a connection to the node from now on.
+	Connect(node model.NodeName)
 	// Disconnect closes it.
-	Disconnect(member model.NodeName)
+	Disconnect(node model.NodeName)
+}
+
+// SubscriberOptions are what a subscriber works with.
+type SubscriberOptions struct {
+	// Seeds are the members of the settings.
+	Seeds []model.NodeName
+	// Zone is the balancer's zone.
+	Zone model.ZoneName
+	// Serves tells that other balancers may follow this one.
+	Serves bool
+	// OnChange, when it is not nil, is called with each update that changed
+	// the table.
+	OnChange func(changes directory.Changes, from model.NodeName)
 }
 
 // Subscriber is the controller that keeps a balancer's table.
 type Subscriber struct {
+	options   SubscriberOptions
 	mailbox   *protocol.Mailbox
 	updates   *board.Queue[protocol.Envelope]
 	table     *steer.Table
 	connector Connector
-
-	// seeds are the members of the settings, known the members to try.
-	seeds []model.NodeName
-	known []model.NodeName
-	// following is the member whose updates are awaited; empty while all
-	// known members are asked.
+	// seeds are the members of the settings, members those to try, and peers
+	// the balancers to try after them.
+	seeds   []model.NodeName
+	members []model.NodeName
+	peers   []model.NodeName
+	// following is the node whose updates are awaited; empty while all known
+	// nodes are asked.
 	following model.NodeName
-	// shown is following for other goroutines.
-	shown     atomic.Value
+	// shown and shownMembers are following and members for other goroutines.
+	shown        atomic.Value
+	shownMembers atomic.Pointer[[]model.NodeName]
+	// depth is one more than that of the followed node.
+	depth     atomic.Uint32
 	newSeeds  atomic.Pointer[[]model.NodeName]
 	connected map[model.NodeName]bool
 	freshAt   time.Time
 	askedAt   time.Time
-	searching time.Time
+	triedAt   time.Time
 	position  int
-	changes   func(directory.Changes, model.NodeName)
 }
 
-// NewSubscriber returns the controller that keeps table. onChange, which may
-// be nil, is called with each update that changed the table.
-func NewSubscriber(mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, table *steer.Table, connector Connector,
-	seeds []model.NodeName, onChange func(directory.Changes, model.NodeName)) *Subscriber {
-	return &Subscriber{
+// NewSubscriber returns the controller that keeps table.
+func NewSubscriber(options SubscriberOptions, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, table *steer.Table, connector Connector) *Subscriber {
+	created := &Subscriber{
+		options:   options,
 		mailbox:   mailbox,
 		updates:   dispatcher.Handle(Update{}),
 		table:     table,
 		connector: connector,
-		seeds:     slices.Clone(seeds),
-		known:     slices.Clone(seeds),
+		seeds:     slices.Clone(options.Seeds),
+		members:   slices.Clone(options.Seeds),
 		connected: make(map[model.NodeName]bool),
-		changes:   onChange,
 	}
+	created.show()
+	return created
 }
 
 // Name implements board.Controller.
@@ -92,17 +115,31 @@
 func (subscriber *Subscriber) takeSeeds() {
 	if replaced := subscriber.newSeeds.Swap(nil); replaced != nil {
 		subscriber.seeds = *replaced
-		subscriber.known = merged(subscriber.known, *replaced)
+		subscriber.members = merged(subscriber.members, *replaced)
 	}
 }
 
-// Following returns the member that is followed, or the empty name.
+// Following returns the node that is followed, or the empty name.
 // It may be called from any goroutine.
 func (subscriber *Subscriber) Following() model.NodeName {
 	name, _ := subscriber.shown.Load().(model.NodeName)
 	return name
 }
 
+// Members returns the members of the control group that are known. It may be
+// called from any goroutine; the names must not be modified.
+func (subscriber *Subscriber) Members() []model.NodeName { return *subscriber.shownMembers.Load() }
+
+// Depth returns the number of balancers between this one and the member that it
+// hears of, counting this one. It may be called from any goroutine.
+func (subscriber *Subscriber) Depth() uint8 { return uint8(subscriber.depth.Load()) }
+
+func (subscriber *Subscriber) show() {
+	members := subscriber.members
+	subscriber.shownMembers.Store(&members)
+	subscriber.shown.Store(subscriber.following)
+}
+
 // Reconcile implements board.Controller.
 func (subscriber *Subscriber) Reconcile(now time.Time) {
 	if subscriber.freshAt.IsZero() {
@@ -116,73 +153,112 @@
 	if now.Sub(subscriber.freshAt) > silenceLimit {
 		subscriber.following = ""
 	}
-	subscriber.shown.Store(subscriber.following)
-	if subscriber.following == "" {
-		subscriber.search(now)
-		return
-	}
-	if now.Sub(subscriber.askedAt) >= subscribeInterval {
-		subscriber.ask(now, subscriber.following)
+	subscriber.show()
+	switch {
+	case subscriber.following == "":
+		subscriber.search(now, searchInterval, subscriber.candidates())
+	case now.Sub(subscriber.askedAt) >= subscribeInterval:
+		subscriber.askedAt = now
+		subscriber.ask(subscriber.following)
+	case !subscriber.isMember(subscriber.following):
+		subscriber.search(now, returnInterval, subscriber.members)
 	}
 }
 
+func (subscriber *Subscriber) isMember(node model.NodeName) bool {
+	return slices.Contains(subscriber.members, node)
+}
+
+// candidates are the nodes to try: members, and then balancers once the word
+// of a quorum is old, so that a start of everything goes to the members alone.
+func (subscriber *Subscriber) candidates() []model.NodeName {
+	return append(slices.Clone(subscriber.members), subscriber.peers...)
+}
+
 // take applies an update. A gap makes the subscriber ask again from what it
 // has.
 func (subscriber *Subscriber) take(now time.Time, from model.NodeName, update Update) {
 	if len(update.Members) > 0 {
-		subscriber.known = merged(update.Members, subscriber.seeds)
+		subscriber.members = merged(update.Members, subscriber.seeds)
+	}
+	if len(update.Peers) > 0 {
+		subscriber.peers = update.Peers
 	}
 	before := subscriber.table.Revision()
 	current := subscriber.table.Apply(update.Changes, now)
-	if subscriber.table.Revision() > before && subscriber.changes != nil {
-		subscriber.changes(update.Changes, from)
+	if subscriber.table.Revision() > before && subscriber.options.OnChange != nil {
+		subscriber.options.OnChange(update.Changes, from)
 	}
 	switch {
 	case current && update.Fresh:
-		subscriber.table.Confirm(now)
-		subscriber.follow(now, from)
+		subscriber.confirm(now, from, update)
 	case !current && update.Changes.From > before && from == subscriber.following:
-		subscriber.ask(now, from)
+		subscriber.ask(from)
 	}
 }
 
-// follow keeps the connection to the first member that is current and closes
-// the others.
-func (subscriber *Subscriber) follow(now time.Time, member model.NodeName) {
-	if subscriber.following == "" {
-		subscriber.following = member
-		for other := range subscriber.connected {
-			if other != member {
-				subscriber.connector.Disconnect(other)
-				delete(subscriber.connected, other)
-			}
-		}
+// confirm takes in that the table was current a while ago.
+func (subscriber *Subscriber) confirm(now time.Time, from model.NodeName, update Update) {
+	confirmedAt := now.Add(-update.Age)
+	subscriber.table.Confirm(confirmedAt)
+	near := update.Depth < maximumDepth
+	if !update.Elsewhere && near && update.Age <= silenceLimit {
+		subscriber.consider(now, from)
 	}
-	if member == subscriber.following {
-		subscriber.freshAt = now
+	if from != subscriber.following {
+		return
+	}
+	subscriber.depth.Store(uint32(update.Depth) + 1)
+	switch {
+	case !near:
+		subscriber.following = ""
+	case confirmedAt.After(subscriber.freshAt):
+		subscriber.freshAt = confirmedAt
+	}
+}
+
+// consider follows a node that is current when none is followed, and a member
+// rather than another balancer.
+func (subscriber *Subscriber) consider(now time.Time, node model.NodeName) {
+	better := subscriber.isMember(node) && !subscriber.isMember(subscriber.following)
+	if node == subscriber.following || subscriber.following != "" && !better {
+		return
+	}
+	subscriber.following = node
+	subscriber.askedAt = now
+	for other := range subscriber.connected {
+		if other != node {
+			subscriber.disconnect(other)
+		}
 	}
 }
 
-// search asks known members in turn, beginning at a place of this balancer's
-// own so that balancers spread over the members.
-func (subscriber *Subscriber) search(now time.Time) {
-	if now.Sub(subscriber.searching) < searchInterval || len(subscriber.known) == 0 {
+func (subscriber *Subscriber) disconnect(node model.NodeName) {
+	subscriber.connector.Disconnect(node)
+	delete(subscriber.connected, node)
+}
+
+// search asks nodes in turn, beginning at a place of this balancer's own so
+// that balancers spread over the members.
+func (subscriber *Subscriber) search(now time.Time, pause time.Duration, nodes []model.NodeName) {
+	if now.Sub(subscriber.triedAt) < pause || len(nodes) == 0 {
 		return
 	}
-	subscriber.searching = now
-	start := int(xxhash.Sum64String(string(subscriber.mailbox.Self)) % uint64(len(subscriber.known)))
-	member := subscriber.known[(start+subscriber.position)%len(subscriber.known)]
+	subscriber.triedAt = now
+	start := int(xxhash.Sum64String(string(subscriber.mailbox.Self)) % uint64(len(nodes)))
+	node := nodes[(start+subscriber.position)%len(nodes)]
 	subscriber.position++
-	if !subscriber.connected[member] {
-		subscriber.connected[member] = true
-		subscriber.connector.Connect(member)
+	if !subscriber.connected[node] {
+		subscriber.connected[node] = true
+		subscriber.connector.Connect(node)
 	}
-	subscriber.ask(now, member)
+	subscriber.ask(node)
 }
 
-func (subscriber *Subscriber) ask(now time.Time, member model.NodeName) {
-	subscriber.askedAt = now
-	subscriber.mailbox.Send(member, Subscribe{Have: subscriber.table.Revision()})
+func (subscriber *Subscriber) ask(node model.NodeName) {
+	subscriber.mailbox.Send(node, Subscribe{
+		Have: subscriber.table.Revision(), Zone: subscriber.options.Zone, Serves: subscriber.options.Serves,
+	})
 }
 
 // merged returns the sorted union of two lists of names.
--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -127,8 +127,9 @@
 	return registrar.NewHealth(options, mailbox, dispatcher, group, state, renewed, probe.New(probe.DialTCP), logger.Named("targets"))
 }
 
-func providePublisher(mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, state *directory.Directory, group *replica.Controller) *feed.Publisher {
-	return feed.NewPublisher(mailbox, dispatcher, state, memberSource{group: group})
+func providePublisher(chosen settings.Settings, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, state *directory.Directory, group *replica.Controller) *feed.Publisher {
+	return feed.NewPublisher(feed.PublisherOptions{Limit: chosen.Direct.Followers, TellsMembers: true},
+		mailbox, dispatcher, state, memberSource{group: group})
 }
 
 func provideReconfigure(chosen settings.Settings, group *replica.Controller, logger *zap.Logger) *reconfigure.Controller {
@@ -142,8 +143,13 @@
 	group *replica.Controller
 }
 
-// Fresh implements feed.Source.
-func (source memberSource) Fresh(now time.Time) bool { return registrar.Fresh(source.group, now) }
+// Confirmed implements feed.Source.
+func (source memberSource) Confirmed(now time.Time) (time.Duration, bool) {
+	return 0, registrar.Fresh(source.group, now)
+}
+
+// Depth implements feed.Source.
+func (source memberSource) Depth() uint8 { return 0 }
 
 // Members implements feed.Source.
 func (source memberSource) Members() []model.NodeName {
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -1,7 +1,9 @@
 package steer
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,11 +62,14 @@
 	revision    model.Revision
 	version     uint64
 	confirmedAt time.Time
+	idleTimeout time.Duration
 	routes      map[netip.AddrPort]route
 	targets     map[directory.Token]*record
 	// services has the targets that may take new flows, by service.
 	services map[string][]*record
 	changes  board.Notifier
+	// confirmations gives notice that confirmedAt moved.
+	confirmations board.Notifier
 }
 
 // NewTable returns an empty table.
@@ -98,12 +103,23 @@
 	return table.version > 0
 }
 
-// Confirm records that a member with a confirmed quorum said at now that the
-// table is current.
-func (table *Table) Confirm(now time.Time) {
+// Confirm records that the table was current at a time, by the word of a
+// member with a confirmed quorum.
+func (table *Table) Confirm(at time.Time) {
 	table.lock.Lock()
 	defer table.lock.Unlock()
-	table.confirmedAt = now
+	if at.After(table.confirmedAt) {
+		table.confirmedAt = at
+		table.confirmations.Notify()
+	}
+}
+
+// ConfirmedAt returns when the table was last known to be current; it is zero
+// when it never was.
+func (table *Table) ConfirmedAt() time.Time {
+	table.lock.RLock()
+	defer table.lock.RUnlock()
+	return table.confirmedAt
 }
 
 // Fresh tells whether the table counts as current.
@@ -135,6 +151,7 @@
 	}
 	table.revision = changes.To
 	table.version = changes.Version
+	table.idleTimeout = changes.IdleTimeout
 	table.rebuildServices()
 	table.changes.Notify()
 	return true
@@ -143,6 +160,10 @@
 // Watch registers a channel that gets a notice after the table changed.
 func (table *Table) Watch() <-chan struct{} { return table.changes.Watch() }
 
+// WatchConfirmed registers a channel that gets a notice after a quorum confirmed
+// the table.
+func (table *Table) WatchConfirmed() <-chan struct{} { return table.confirmations.Watch() }
+
 // replace takes a whole directory in. What this balancer learned of targets
 // that stay is kept.
 func (table *Table) replace(changes directory.Changes, now time.Time) {
@@ -219,6 +240,22 @@
 	table.services = services
 }
 
+// Everything returns the whole table as changes for a reader without one.
+func (table *Table) Everything() directory.Changes {
+	table.lock.RLock()
+	defer table.lock.RUnlock()
+	whole := directory.Changes{Whole: true, To: table.revision, Version: table.version, IdleTimeout: table.idleTimeout}
+	for address, route := range table.routes {
+		whole.Routes = append(whole.Routes, directory.RouteEntry{Address: address, Pool: route.parts})
+	}
+	for _, target := range table.targets {
+		whole.Targets = append(whole.Targets, target.TargetEntry)
+	}
+	slices.SortFunc(whole.Routes, func(left, right directory.RouteEntry) int { return left.Address.Compare(right.Address) })
+	slices.SortFunc(whole.Targets, func(left, right directory.TargetEntry) int { return cmp.Compare(left.Token, right.Token) })
+	return whole
+}
+
 // Lookup returns the target with the token.
 func (table *Table) Lookup(token directory.Token) (directory.TargetEntry, bool) {
 	table.lock.RLock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,6 +50,12 @@
 	// LinkMegabits is the rate of a balancer's link in Mbit/s. A balancer sends
 	// no faster; zero means that the link has no bound.
 	LinkMegabits float64 `koanf:"link_megabits" validate:"min=0,max=1000000"`
+	// Followers bounds the balancers that a member feeds; more of them follow
+	// other balancers.
+	Followers int `koanf:"followers" validate:"min=1,max=10000"`
+	// PeerFollowers bounds the balancers that a balancer feeds. Zero, or no
+	// listen address, feeds none.
+	PeerFollowers int `koanf:"peer_followers" validate:"min=0,max=10000"`
 	// ToleratedLosses is the number of members that may be lost at once; the
 	// group keeps twice as many voters and one more, and three at the least.
 	ToleratedLosses int `koanf:"tolerated_losses" validate:"min=0,max=4"`
@@ -315,6 +321,8 @@
 			RequestTimeout:     5 * time.Second,
 		},
 		Direct: Direct{
+			Followers:         64,
+			PeerFollowers:     16,
 			ToleratedLosses:   1,
 			ElectionTimeout:   400 * time.Millisecond,
 			HeartbeatInterval: 80 * time.Millisecond,
--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"merlinpaddle/internal/board"
+	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/forwarder"
 	"merlinpaddle/internal/direct/steer"
@@ -18,12 +19,16 @@
 // a message.
 const balancerInterval = 40 * time.Millisecond
 
+// peerFollowers bounds the balancers that a simulated balancer feeds.
+const peerFollowers = 16
+
 // balancer is one balancer on a simulated process.
 type balancer struct {
-	world    *World
-	process  *kernel.Process
-	table    *steer.Table
-	suspects *forwarder.Suspects
+	world      *World
+	process    *kernel.Process
+	table      *steer.Table
+	suspects   *forwarder.Suspects
+	subscriber *feed.Subscriber
 	// startedAt is when the present life began.
 	startedAt time.Time
 }
@@ -49,11 +54,21 @@
 	dispatcher := protocol.NewDispatcher(mailbox)
 	balancer.startedAt = balancer.world.Now()
 	balancer.table = steer.NewTable(steer.DefaultOptions())
-	subscriber := feed.NewSubscriber(mailbox, dispatcher, balancer.table, noConnector{}, balancer.world.seeds(), nil)
+	var replica *feed.Replica
+	subscriber := feed.NewSubscriber(feed.SubscriberOptions{
+		Seeds:    balancer.world.seeds(),
+		Zone:     balancer.process.Zone,
+		Serves:   true,
+		OnChange: func(changes directory.Changes, _ model.NodeName) { replica.Took(changes) },
+	}, mailbox, dispatcher, balancer.table, noConnector{})
+	replica = feed.NewReplica(balancer.table, subscriber)
+	publisher := feed.NewPublisher(feed.PublisherOptions{Limit: peerFollowers}, mailbox, dispatcher, replica, replica)
+	reports := feed.NewReports(mailbox, dispatcher, subscriber.Following)
+	balancer.subscriber = subscriber
 	balancer.suspects = forwarder.NewSuspects(balancer.table, balancer.world.prober(balancer.process), mailbox, subscriber.Following, zap.NewNop())
 	return kernel.Program{
 		Mailbox:     mailbox,
-		Controllers: []board.Controller{dispatcher, subscriber, balancer.suspects},
+		Controllers: []board.Controller{dispatcher, subscriber, publisher, reports, balancer.suspects},
 	}
 }
 
--- a/internal/sim/directworld/checks.go
+++ b/internal/sim/directworld/checks.go
@@ -169,6 +169,27 @@
 	}
 }
 
+// keepsUpBound is how long after its acknowledgement a version may be unknown
+// to a balancer that reaches others which know it.
+const keepsUpBound = 1500 * time.Millisecond
+
+// keepsUp demands that a balancer knows what was acknowledged a while ago, and
+// that it counts as current.
+func (checks *checks) keepsUp(balancer *balancer) {
+	version := balancer.table.Version()
+	for acknowledged, at := range checks.acknowledgedAt {
+		if age := checks.world.Now().Sub(at); acknowledged > version && age > keepsUpBound {
+			checks.violate(checker.InvariantInForce, "%s has version %d, %s after version %d was acknowledged",
+				balancer.process.Name, version, age, acknowledged)
+			return
+		}
+	}
+	if !balancer.table.Fresh(balancer.process.LocalNow()) {
+		checks.violate(checker.InvariantInForce, "%s does not count as current; it follows %q",
+			balancer.process.Name, balancer.subscriber.Following())
+	}
+}
+
 // opened judges a target that takes a new flow.
 func (checks *checks) opened(through *balancer, target *target, packet packet) {
 	world := checks.world
--- a/internal/sim/directworld/member.go
+++ b/internal/sim/directworld/member.go
@@ -89,7 +89,8 @@
 		ProbePause:  700 * time.Millisecond,
 		ForgetAfter: flowLife + 15*time.Second,
 	}, mailbox, dispatcher, group, member.Directory, renewed, world.prober(member.process), zap.NewNop())
-	publisher := feed.NewPublisher(mailbox, dispatcher, member.Directory, memberSource{member: member})
+	publisher := feed.NewPublisher(feed.PublisherOptions{Limit: world.options.Followers, TellsMembers: true},
+		mailbox, dispatcher, member.Directory, memberSource{member: member})
 	keeper := reconfigure.New(reconfigure.DefaultOptions(world.options.ToleratedLosses), group, zap.NewNop())
 	return kernel.Program{
 		Mailbox:     mailbox,
@@ -112,11 +113,14 @@
 	member *Member
 }
 
-// Fresh implements feed.Source.
-func (source memberSource) Fresh(now time.Time) bool {
-	return registrar.Fresh(source.member.group, now)
+// Confirmed implements feed.Source.
+func (source memberSource) Confirmed(now time.Time) (time.Duration, bool) {
+	return 0, registrar.Fresh(source.member.group, now)
 }
 
+// Depth implements feed.Source.
+func (source memberSource) Depth() uint8 { return 0 }
+
 // Members implements feed.Source.
 func (source memberSource) Members() []model.NodeName {
 	var names []model.NodeName
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -58,6 +58,20 @@
 		summary: "targets leave without draining, and renewals of targets that died, or whose address another one has, come seconds late",
 		play:    lateCalls,
 	},
+	{
+		name:    "direct-cut-balancers",
+		summary: "balancers are cut off from all members, not from each other, while targets and configurations change",
+		play:    cutBalancers,
+	},
+	{
+		name:    "direct-relayed-feed",
+		summary: "twelve balancers, of which members feed three, follow each other while they restart and members go",
+		change: func(options *Options) {
+			options.Balancers = 12
+			options.Followers = 1
+		},
+		play: relayedFeed,
+	},
 	{
 		name:    "direct-leader-loss",
 		summary: "the leader is killed, loses power or stands still again and again under racing operators",
@@ -199,6 +213,70 @@
 	}
 }
 
+// cutFromMembers cuts balancers off from all members for a while.
+func (world *World) cutFromMembers(balancers []*balancer, duration time.Duration) {
+	var heals []func()
+	for _, balancer := range balancers {
+		world.disturb("cut", string(balancer.process.Name))
+		for _, member := range world.members {
+			heals = append(heals,
+				world.control.CutOneWay(balancer.process.Name, member.process.Name),
+				world.control.CutOneWay(member.process.Name, balancer.process.Name))
+		}
+	}
+	world.after(duration, func() {
+		world.disturb("heal", "balancers")
+		for _, heal := range heals {
+			heal()
+		}
+	})
+}
+
+// peersTakeOver is how long after a cut a balancer may need to follow another
+// one.
+const peersTakeOver = 3 * time.Second
+
+func cutBalancers(world *World) {
+	for round := range 4 {
+		cut := []*balancer{world.balancers[round%len(world.balancers)], world.balancers[(round+1)%len(world.balancers)]}
+		world.cutFromMembers(cut, 8*time.Second)
+		for _, target := range world.livingTargets(2) {
+			world.AddTarget(target.service, target.zone)
+			target.Drain()
+		}
+		world.RunFor(peersTakeOver)
+		for range 8 {
+			world.RunFor(500 * time.Millisecond)
+			for _, balancer := range cut {
+				world.checks.keepsUp(balancer)
+			}
+		}
+		world.RunFor(7 * time.Second)
+	}
+}
+
+func relayedFeed(world *World) {
+	for range 3 {
+		world.RunFor(3 * time.Second)
+		for _, balancer := range world.balancers {
+			world.checks.keepsUp(balancer)
+		}
+		for range 3 {
+			world.restartBalancer(kernel.Pick(world.random, world.balancers), 500*time.Millisecond)
+		}
+		for _, target := range world.livingTargets(2) {
+			world.AddTarget(target.service, target.zone)
+			target.Drain()
+		}
+		world.RunFor(5 * time.Second)
+		member := kernel.Pick(world.random, world.members)
+		member.Kill()
+		world.RunFor(3 * time.Second)
+		member.Start()
+		world.RunFor(4 * time.Second)
+	}
+}
+
 func leaderLoss(world *World) {
 	for range 5 {
 		leader := world.leader()
--- a/internal/sim/directworld/world.go
+++ b/internal/sim/directworld/world.go
@@ -55,7 +55,9 @@
 	Balancers       int
 	TargetsPerZone  int
 	ToleratedLosses int
-	Faults          kernel.LinkFaults
+	// Followers bounds the balancers that a member feeds.
+	Followers int
+	Faults    kernel.LinkFaults
 	// Skewed gives every process a clock of its own.
 	Skewed bool
 	Parts  Parts
@@ -69,6 +71,7 @@
 		Balancers:       4,
 		TargetsPerZone:  2,
 		ToleratedLosses: 1,
+		Followers:       64,
 		Faults:          kernel.LinkFaults{Loss: 0.01, Duplication: 0.01, Jitter: 2 * time.Millisecond},
 		Parts:           StandardParts(),
 	}
--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -34,6 +34,8 @@
 var servedRoles = map[model.Role][]model.Role{
 	model.RoleControl: {model.RoleControl, model.RoleRelay, model.RoleBalancer},
 	model.RoleRelay:   {model.RoleBalancer, model.RoleAgent, model.RoleRelay},
+	// Balancers of direct services pass their feed on.
+	model.RoleBalancer: {model.RoleBalancer},
 }
 
 // serves tells whether a process of role server accepts one of role client.
--- a/internal/transport/module.go
+++ b/internal/transport/module.go
@@ -45,7 +45,7 @@
 		Logger:  logger.Named("links"),
 		Timing:  timing,
 	}
-	if role == model.RoleControl || role == model.RoleRelay {
+	if servesOthers(role, chosen) {
 		options.Listen = chosen.Listen
 	}
 	if chosen.Keys != "" {
@@ -58,6 +58,19 @@
 	return NewLinks(options), nil
 }
 
+// servesOthers tells whether others connect to a process of the role. Balancers
+// do so among each other when they serve direct services.
+func servesOthers(role model.Role, chosen settings.Settings) bool {
+	switch role {
+	case model.RoleControl, model.RoleRelay:
+		return true
+	case model.RoleBalancer:
+		return chosen.Direct.Packets != ""
+	default:
+		return false
+	}
+}
+
 func run(lifecycle fx.Lifecycle, links *Links, dispatcher *protocol.Dispatcher, mailbox *protocol.Mailbox, tasks *process.Tasks) {
 	runner := board.NewRunner(dispatcher, dispatchInterval, mailbox.Inbox.Watch())
 	lifecycle.Append(fx.StartHook(func() error {
