Let a member carry thousands of targets with less work

A processor profile of a member on loopback with 3,000 renewing targets named, besides HTTP: the leader's look at all targets ten times a second (copying and sorting), gob's type descriptions in every command, and two copies of the table of renewals every 250 ms. ChangesSince read all targets for each follower.

The directory indexes targets by token, address and change; the look reuses its memory; renewals are taken out of their table once told; commands are written by kept gob encoders; the pause between two updates to a balancer grows with the number of followers.

Ruled out as the cause of the whole overload: these alone; renewals over HTTP still cost most of a member's time.

--- a/internal/direct/directory/apply.go
+++ b/internal/direct/directory/apply.go
@@ -92,7 +92,7 @@
 // failed, because a renewal may come long after it was sent; what it states is
 // its state once it is found alive.
 func (directory *Directory) register(stated Target) Result {
-	target, known := directory.targets[stated.ID]
+	target, known := directory.targets.byID[stated.ID]
 	if !known {
 		return directory.admit(stated)
 	}
@@ -105,12 +105,12 @@
 		target.Before = max(target.Before, stated.State)
 	case stated.State > target.State:
 		target.State = stated.State
-		target.Revision = directory.revision
+		directory.touch(target)
 	}
 	if stated.Address != target.Address || stated.Capacity != target.Capacity {
-		target.Address = stated.Address
+		directory.targets.move(target, stated.Address)
 		target.Capacity = stated.Capacity
-		target.Revision = directory.revision
+		directory.touch(target)
 	}
 	return Result{Token: target.Token}
 }
@@ -119,9 +119,9 @@
 func (directory *Directory) admit(stated Target) Result {
 	added := stated
 	added.Token = directory.nextToken
-	added.Revision = directory.revision
 	directory.nextToken++
-	directory.targets[added.ID] = &added
+	directory.targets.add(&added)
+	directory.touch(&added)
 	directory.failPredecessors(&added)
 	return Result{Token: added.Token}
 }
@@ -129,24 +129,29 @@
 // failPredecessors marks former incarnations at the same address: an address
 // serves one incarnation at a time, so their flows are lost.
 func (directory *Directory) failPredecessors(added *Target) {
-	for _, target := range directory.targets {
-		if target.Address == added.Address && target.ID != added.ID {
+	for _, target := range directory.targets.byAddress[added.Address] {
+		if target != added {
 			directory.fail(target)
 		}
 	}
 }
 
+// touch records that a target changed at the present revision.
+func (directory *Directory) touch(target *Target) {
+	directory.targets.touch(target, directory.revision)
+}
+
 func (directory *Directory) fail(target *Target) {
 	if target.State == TargetFailed {
 		return
 	}
 	target.Before = target.State
 	target.State = TargetFailed
-	target.Revision = directory.revision
+	directory.touch(target)
 }
 
 func (directory *Directory) leave(id TargetID) {
-	target, known := directory.targets[id]
+	target, known := directory.targets.byID[id]
 	if !known {
 		return
 	}
@@ -155,21 +160,21 @@
 		target.Before = TargetLeft
 	case target.State < TargetLeft:
 		target.State = TargetLeft
-		target.Revision = directory.revision
+		directory.touch(target)
 	}
 }
 
 func (directory *Directory) changeHealth(change *HealthChange) {
 	for _, id := range change.Failed {
-		if target, known := directory.targets[id]; known {
+		if target, known := directory.targets.byID[id]; known {
 			directory.fail(target)
 		}
 	}
 	for _, id := range change.Recovered {
-		target, known := directory.targets[id]
+		target, known := directory.targets.byID[id]
 		if known && target.State == TargetFailed && directory.successor(target) == nil {
 			target.State = target.Before
-			target.Revision = directory.revision
+			directory.touch(target)
 		}
 	}
 }
@@ -177,8 +182,8 @@
 // successor returns the later incarnation that has the target's address and
 // did not fail, or nil.
 func (directory *Directory) successor(target *Target) *Target {
-	for _, other := range directory.targets {
-		if other.Address == target.Address && other.Token > target.Token && other.State != TargetFailed {
+	for _, other := range directory.targets.byAddress[target.Address] {
+		if other.Token > target.Token && other.State != TargetFailed {
 			return other
 		}
 	}
@@ -187,11 +192,11 @@
 
 func (directory *Directory) forget(ids []TargetID) {
 	for _, id := range ids {
-		target, known := directory.targets[id]
+		target, known := directory.targets.byID[id]
 		if !known {
 			continue
 		}
-		delete(directory.targets, id)
+		directory.targets.remove(target)
 		directory.forgotten = append(directory.forgotten, forgottenTarget{token: target.Token, revision: directory.revision})
 	}
 	directory.trimRemoved()
--- a/internal/direct/directory/changes.go
+++ b/internal/direct/directory/changes.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -65,12 +64,7 @@
 	if directory.configurationAt > from || changes.Whole {
 		directory.collectRoutes(&changes, from)
 	}
-	for _, target := range directory.targets {
-		if target.Revision > from {
-			changes.Targets = append(changes.Targets, target.entry())
-		}
-	}
-	slices.SortFunc(changes.Targets, func(left, right TargetEntry) int { return cmp.Compare(left.Token, right.Token) })
+	changes.Targets = directory.targets.changedSince(from)
 	if !changes.Whole {
 		directory.collectRemovals(&changes, from)
 	}
--- a/internal/direct/directory/command.go
+++ b/internal/direct/directory/command.go
@@ -1,8 +1,6 @@
 package directory
 
 import (
-	"bytes"
-	"encoding/gob"
 	"reflect"
 
 	"merlinpaddle/internal/direct/declared"
@@ -60,13 +58,12 @@
 // EncodeResult returns the result as bytes.
 func EncodeResult(result Result) ([]byte, error) { return encode(result) }
 
-func encode(value any) ([]byte, error) {
-	var buffer bytes.Buffer
-	err := gob.NewEncoder(&buffer).Encode(value)
-	return buffer.Bytes(), err
-}
+func encode(value any) ([]byte, error) { return encoders.Encode(value) }
 
-var decoders = gobstream.NewDecoders()
+var (
+	encoders = gobstream.NewEncoders()
+	decoders = gobstream.NewDecoders()
+)
 
 // DecodeResult is the inverse of EncodeResult.
 func DecodeResult(data []byte) (Result, error) {
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -12,7 +12,6 @@
 package directory
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
@@ -102,7 +101,7 @@
 	removed         []removedRoute
 	// removedFloor is the revision before which removals are forgotten.
 	removedFloor model.Revision
-	targets      map[TargetID]*Target
+	targets      *targetIndex
 	// forgotten are tokens of targets that were taken out.
 	forgotten []forgottenTarget
 	nextToken Token
@@ -129,7 +128,7 @@
 	directory.routes = make(map[netip.AddrPort]routeRecord)
 	directory.removed = nil
 	directory.removedFloor = 0
-	directory.targets = make(map[TargetID]*Target)
+	directory.targets = newTargetIndex()
 	directory.forgotten = nil
 	directory.nextToken = 1
 }
@@ -152,7 +151,7 @@
 func (directory *Directory) Target(id TargetID) (Target, bool) {
 	directory.lock.RLock()
 	defer directory.lock.RUnlock()
-	target, exists := directory.targets[id]
+	target, exists := directory.targets.byID[id]
 	if !exists {
 		return Target{}, false
 	}
@@ -164,7 +163,7 @@
 func (directory *Directory) Successor(id TargetID) (TargetID, bool) {
 	directory.lock.RLock()
 	defer directory.lock.RUnlock()
-	target, exists := directory.targets[id]
+	target, exists := directory.targets.byID[id]
 	if !exists {
 		return 0, false
 	}
@@ -176,13 +175,16 @@
 }
 
 // Targets returns copies of all targets in the order of their tokens.
-func (directory *Directory) Targets() []Target {
+func (directory *Directory) Targets() []Target { return directory.AppendTargets(nil) }
+
+// AppendTargets appends copies of all targets to buffer, in the order of their
+// tokens.
+func (directory *Directory) AppendTargets(buffer []Target) []Target {
 	directory.lock.RLock()
 	defer directory.lock.RUnlock()
-	targets := make([]Target, 0, len(directory.targets))
-	for _, target := range directory.targets {
-		targets = append(targets, *target)
+	buffer = slices.Grow(buffer, len(directory.targets.ordered))
+	for _, target := range directory.targets.ordered {
+		buffer = append(buffer, *target)
 	}
-	slices.SortFunc(targets, func(left, right Target) int { return cmp.Compare(left.Token, right.Token) })
-	return targets
+	return buffer
 }
--- a/internal/direct/directory/snapshot.go
+++ b/internal/direct/directory/snapshot.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"cmp"
 	"encoding/gob"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -33,13 +31,12 @@
 		Revision:        directory.revision,
 		Configuration:   *directory.configuration,
 		ConfigurationAt: directory.configurationAt,
-		Targets:         make([]Target, 0, len(directory.targets)),
+		Targets:         make([]Target, 0, len(directory.targets.ordered)),
 		NextToken:       directory.nextToken,
 	}
-	for _, target := range directory.targets {
+	for _, target := range directory.targets.ordered {
 		saved.Targets = append(saved.Targets, *target)
 	}
-	slices.SortFunc(saved.Targets, func(left, right Target) int { return cmp.Compare(left.Token, right.Token) })
 	var buffer bytes.Buffer
 	err := gob.NewEncoder(&buffer).Encode(saved)
 	return buffer.Bytes(), err
@@ -64,10 +61,7 @@
 	for _, route := range saved.Configuration.Routes {
 		directory.routes[route.Address] = routeRecord{route: route, revision: saved.ConfigurationAt}
 	}
-	for index := range saved.Targets {
-		target := saved.Targets[index]
-		directory.targets[target.ID] = &target
-	}
+	directory.targets.restore(saved.Targets)
 	return nil
 }
 
--- a/internal/direct/feed/publisher.go
+++ b/internal/direct/feed/publisher.go
@@ -20,8 +20,10 @@
 	// last subscription.
 	subscriptionFor = 4 * time.Second
 	// pushPause is the least time between two updates to one balancer, so that
-	// a burst of commits makes few messages.
-	pushPause = 15 * time.Millisecond
+	// a burst of commits makes few messages; each follower adds pushPauseEach,
+	// which bounds the messages a second.
+	pushPause     = 15 * time.Millisecond
+	pushPauseEach = time.Millisecond
 )
 
 // Store has what a publisher sends.
@@ -119,11 +121,12 @@
 		revision: publisher.store.Revision(),
 		members:  publisher.source.Members(),
 		depth:    publisher.source.Depth(),
+		pause:    pushPause + pushPauseEach*time.Duration(len(publisher.followers)),
 	}
 	batch.age, batch.fresh = publisher.source.Confirmed(now)
 	for _, name := range sortedNames(publisher.followers) {
 		known := publisher.followers[name]
-		if known.due(now, batch.revision, batch.fresh) {
+		if known.due(now, &batch) {
 			publisher.push(now, name, known, batch.update(known.sent))
 		}
 	}
@@ -190,6 +193,7 @@
 	fresh    bool
 	members  []model.NodeName
 	depth    uint8
+	pause    time.Duration
 	same     directory.Changes
 	from     model.Revision
 	made     bool
@@ -225,10 +229,10 @@
 }
 
 // due tells whether the follower gets an update now.
-func (known *follower) due(now time.Time, revision model.Revision, fresh bool) bool {
+func (known *follower) due(now time.Time, batch *batch) bool {
 	since := now.Sub(known.sentAt)
-	changed := revision > known.sent || fresh != known.fresh
-	return since >= keepaliveInterval-keepaliveSlack || changed && since >= pushPause
+	changed := batch.revision > known.sent || batch.fresh != known.fresh
+	return since >= keepaliveInterval-keepaliveSlack || changed && since >= batch.pause
 }
 
 func (publisher *Publisher) push(now time.Time, name model.NodeName, known *follower, update Update) {
--- a/internal/direct/registrar/health.go
+++ b/internal/direct/registrar/health.go
@@ -35,12 +35,13 @@
 	group     Group
 	directory *directory.Directory
 	renewed   *Renewed
-	told      uint64
 	renewals  *board.Queue[protocol.Envelope]
 	reports   *board.Queue[protocol.Envelope]
 	prober    *probe.Prober
 	logger    *zap.Logger
 
+	// looked is kept between looks at the targets, to spare its memory.
+	looked   []directory.Target
 	observed map[directory.TargetID]*observation
 	// now is the time of the present Reconcile.
 	now time.Time
--- a/internal/direct/registrar/health_inspect.go
+++ b/internal/direct/registrar/health_inspect.go
@@ -54,7 +54,8 @@
 
 // inspect looks at every target for silence, return and age.
 func (health *Health) inspect(now time.Time) {
-	targets := health.directory.Targets()
+	health.looked = health.directory.AppendTargets(health.looked[:0])
+	targets := health.looked
 	if len(health.observed) > 2*len(targets)+observedSlack {
 		health.dropForgotten()
 	}
--- a/internal/direct/registrar/health_renewals.go
+++ b/internal/direct/registrar/health_renewals.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -24,40 +25,23 @@
 		return renewals
 	}
 	health.toldAt = now
-	latest := health.told
+	own := len(renewals)
 	health.renewed.Range(func(id directory.TargetID, row board.Row[time.Time]) bool {
-		if row.Revision > health.told {
-			renewals = append(renewals, Renewal{ID: id, Ago: now.Sub(row.Value)})
-			latest = max(latest, row.Revision)
-		}
+		renewals = append(renewals, Renewal{ID: id, Ago: now.Sub(row.Value)})
 		return true
 	})
-	health.told = latest
-	health.dropOldRenewals(now)
-	slices.SortFunc(renewals, func(left, right Renewal) int {
-		if left.ID < right.ID {
-			return -1
-		}
-		return 1
-	})
+	for _, renewal := range renewals[own:] {
+		health.forgetRenewal(renewal.ID, now.Add(-renewal.Ago))
+	}
+	slices.SortFunc(renewals, func(left, right Renewal) int { return cmp.Compare(left.ID, right.ID) })
 	return renewals
 }
 
-// renewalKept is how long a renewal is remembered at the member that took it.
-const renewalKept = time.Minute
-
-// dropOldRenewals forgets targets that no longer renew here.
-func (health *Health) dropOldRenewals(now time.Time) {
-	var old []directory.TargetID
-	health.renewed.Range(func(id directory.TargetID, row board.Row[time.Time]) bool {
-		if now.Sub(row.Value) > renewalKept {
-			old = append(old, id)
-		}
-		return true
+// forgetRenewal takes a renewal out of the table, unless a later one came.
+func (health *Health) forgetRenewal(id directory.TargetID, taken time.Time) {
+	health.renewed.Update(id, func(at time.Time, exists bool) (time.Time, bool) {
+		return at, exists && at.After(taken)
 	})
-	for _, id := range old {
-		health.renewed.Delete(id)
-	}
 }
 
 // passOn sends the leader what this member heard.
--- a/internal/direct/registrar/registrar.go
+++ b/internal/direct/registrar/registrar.go
@@ -27,7 +27,8 @@
 	directory *directory.Directory
 	proposer  *Proposer
 	group     Group
-	// renewals has when each target was last heard from at this member.
+	// renewals has when each target was heard from at this member since the
+	// leader was last told.
 	renewals *Renewed
 	logger   *zap.Logger
 }
@@ -38,7 +39,7 @@
 }
 
 // Renewed is the blackboard's table of targets that were heard from at this
-// member, with the time.
+// member since the leader was last told, with the time.
 type Renewed = board.Table[directory.TargetID, time.Time]
 
 // NewRenewed returns an empty table.
--- a/internal/direct/registrar/registrar_test.go
+++ b/internal/direct/registrar/registrar_test.go
@@ -56,7 +56,7 @@
 
 // bench is a leader's registrar on a clock of its own.
 type bench struct {
-	t         *testing.T
+	t         testing.TB
 	now       time.Time
 	group     *group
 	mailbox   *protocol.Mailbox
@@ -68,7 +68,7 @@
 	outcome   probe.Outcome
 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t testing.TB) *bench {
 	made := &bench{t: t, now: start, mailbox: protocol.NewMailbox("self"), outcome: probe.Answered}
 	made.group = &group{directory: directory.New(), status: replica.Status{Leader: "self", Leading: true, Term: 1}}
 	made.dispatch = protocol.NewDispatcher(made.mailbox)
--- a/internal/gobstream/gobstream.go
+++ b/internal/gobstream/gobstream.go
@@ -1,8 +1,10 @@
-// Package gobstream decodes many short gob streams of the same types quickly.
+// Package gobstream reads and writes many short gob streams of the same types
+// quickly.
 //
 // Each stream is readable by itself, because it begins with descriptions of
-// its types. Reading these costs far more than reading a value, so a decoder
-// that has read them is kept for the streams that begin with the same ones.
+// its types. Reading and writing these costs far more than a value, so a decoder
+// that has read them is kept for the streams that begin with the same ones, and
+// an encoder for the values of the same type.
 package gobstream
 
 import (
--- a/internal/gobstream/gobstream_test.go
+++ b/internal/gobstream/gobstream_test.go
@@ -76,6 +76,51 @@
 	}
 }
 
+// holder has a field whose type depends on its value.
+type holder struct {
+	Any any
+}
+
+func TestEncodersWriteWhatANewEncoderWrites(t *testing.T) {
+	gob.Register(part{})
+	encoders := NewEncoders()
+	values := []any{
+		sound(), example{}, sound(), part{"a", 1}, example{Body: make([]byte, 2*maximumKeptBytes)}, sound(),
+		holder{}, holder{Any: part{"b", 2}}, holder{Any: 7}, holder{Any: part{"c", 3}},
+	}
+	for round := range 3 {
+		for place, value := range values {
+			stream, err := encoders.Encode(value)
+			require.NoError(t, err)
+			require.Equal(t, encode(t, value), stream, "round %d, value %d", round, place)
+		}
+	}
+	_, err := encoders.Encode(func() {})
+	require.Error(t, err)
+	_, err = encoders.Encode(holder{Any: func() {}})
+	require.Error(t, err)
+	stream, err := encoders.Encode(holder{Any: part{"b", 2}})
+	require.NoError(t, err)
+	require.Equal(t, encode(t, holder{Any: part{"b", 2}}), stream, "an error leaves nothing behind")
+}
+
+// BenchmarkEncode compares a kept encoder with a new one for each stream.
+func BenchmarkEncode(b *testing.B) {
+	b.Run("kept", func(b *testing.B) {
+		encoders := NewEncoders()
+		for b.Loop() {
+			_, err := encoders.Encode(sound())
+			require.NoError(b, err)
+		}
+	})
+	b.Run("new", func(b *testing.B) {
+		for b.Loop() {
+			_, err := encodeAnew(sound())
+			require.NoError(b, err)
+		}
+	})
+}
+
 // BenchmarkDecode compares a kept decoder with a new one for each stream.
 func BenchmarkDecode(b *testing.B) {
 	plain := encode(b, sound())
