--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -1,7 +1,7 @@
 // Package balancernode is the fx module of a balancer of direct services.
 //
 // It provides model.Role, *steer.Table, *feed.Subscriber, *feed.Publisher,
-// *forwarder.Suspects and *forwarder.Forwarder, includes transport.Module, and
+// *renewal.Relay, *forwarder.Suspects and *forwarder.Forwarder, includes transport.Module, and
 // needs a forwarder.Codec besides what the process base provides.
 package balancernode
 
@@ -19,6 +19,7 @@
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/forwarder"
 	"merlinpaddle/internal/direct/probe"
+	"merlinpaddle/internal/direct/renewal"
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/process"
@@ -32,6 +33,8 @@
 	subscribeInterval = 40 * time.Millisecond
 	// publishInterval is how often the publisher runs without a notice.
 	publishInterval = time.Second
+	// renewalsInterval is how often renewals are looked at.
+	renewalsInterval = 400 * time.Millisecond
 	// suspectsInterval is how often suspicions are looked at without a notice.
 	suspectsInterval = time.Second
 	// bytesPerMegabit turns a rate in Mbit/s into bytes a second.
@@ -45,7 +48,7 @@
 	return fx.Module("direct balancer",
 		fx.Supply(model.RoleBalancer),
 		transport.ModuleWith(transport.QuickTiming()),
-		fx.Provide(newTable, provideSubscriber, provideReplica, providePublisher, provideReports, provideSuspects, provideForwarder, newMetrics, newObserver),
+		fx.Provide(newTable, provideSubscriber, provideReplica, providePublisher, provideReports, provideRelay, provideSuspects, provideForwarder, newMetrics, newObserver),
 		fx.Provide(newChangeListeners),
 		fx.Invoke(reportChanges, run),
 	)
@@ -73,6 +76,7 @@
 		Seeds:    direct.SeedMembers(chosen.Direct),
 		Zone:     model.ZoneName(chosen.Zone),
 		Serves:   servesPeers(chosen),
+		Renewals: chosen.Direct.Renewals,
 		OnChange: changed.notify,
 	}, mailbox, dispatcher, table, linkConnector{links: links})
 }
@@ -130,6 +134,10 @@
 	return feed.NewReports(mailbox, dispatcher, subscriber.Following)
 }
 
+func provideRelay(mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, table *steer.Table, subscriber *feed.Subscriber) *renewal.Relay {
+	return renewal.NewRelay(mailbox, dispatcher, table, subscriber.Following)
+}
+
 func provideSuspects(table *steer.Table, mailbox *protocol.Mailbox, subscriber *feed.Subscriber, logger *zap.Logger) *forwarder.Suspects {
 	return forwarder.NewSuspects(table, probe.New(probe.DialTCP), mailbox, subscriber.Following, logger.Named("targets"))
 }
@@ -156,6 +164,7 @@
 	Table      *steer.Table
 	Publisher  *feed.Publisher
 	Reports    *feed.Reports
+	Relay      *renewal.Relay
 	Suspects   *forwarder.Suspects
 	Forwarder  *forwarder.Forwarder
 	Reloads    *process.Reloads
@@ -173,6 +182,7 @@
 		board.NewRunner(parts.Publisher, publishInterval,
 			append(parts.Publisher.Sources(), parts.Table.Watch(), parts.Table.WatchConfirmed())...),
 		board.NewRunner(parts.Reports, time.Second, parts.Reports.Sources()...),
+		board.NewRunner(parts.Relay, renewalsInterval),
 		board.NewRunner(parts.Suspects, suspectsInterval, parts.Suspects.Sources()...),
 	}
 	parts.Lifecycle.Append(fx.StartStopHook(
--- a/internal/direct/feed/feed.go
+++ b/internal/direct/feed/feed.go
@@ -32,6 +32,9 @@
 	Zone model.ZoneName
 	// Serves tells that other balancers may follow this one, at its name.
 	Serves bool
+	// Renewals is the address at which the balancer takes renewals of targets;
+	// empty when it takes none.
+	Renewals string
 }
 
 // Update answers a Subscribe, and follows each commit.
@@ -60,6 +63,9 @@
 type Peer struct {
 	Name model.NodeName
 	Zone model.ZoneName
+	// Renewals is the address at which it takes renewals of targets; empty
+	// when it takes none.
+	Renewals string
 }
 
 // Followers tells the other members which balancers follow this one, so that
--- a/internal/direct/feed/peers.go
+++ b/internal/direct/feed/peers.go
@@ -28,6 +28,20 @@
 // peerBook has the balancers that others may follow, sorted by name.
 type peerBook struct {
 	known []knownPeer
+	// listed is known as a list, or nil after a change.
+	listed *[]Peer
+}
+
+// list returns the balancers, sorted by name.
+func (book *peerBook) list() *[]Peer {
+	if book.listed == nil {
+		peers := make([]Peer, 0, len(book.known))
+		for _, known := range book.known {
+			peers = append(peers, known.Peer)
+		}
+		book.listed = &peers
+	}
+	return book.listed
 }
 
 func (book *peerBook) find(name model.NodeName) (int, bool) {
@@ -49,12 +63,19 @@
 	if !exists {
 		book.known = slices.Insert(book.known, place, knownPeer{})
 	}
+	if book.known[place].Peer != heard {
+		book.listed = nil
+	}
 	book.known[place] = knownPeer{Peer: heard, heardAt: now}
 }
 
 // dropOld forgets balancers that were not heard of for long.
 func (book *peerBook) dropOld(now time.Time) {
+	before := len(book.known)
 	book.known = slices.DeleteFunc(book.known, func(known knownPeer) bool { return now.Sub(known.heardAt) > peerFor })
+	if len(book.known) != before {
+		book.listed = nil
+	}
 }
 
 // choose returns the balancers that the one with the name is told of: those
--- a/internal/direct/feed/publisher.go
+++ b/internal/direct/feed/publisher.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"merlinpaddle/internal/board"
@@ -54,7 +55,7 @@
 	fresh   bool
 	members []model.NodeName
 	peers   []model.NodeName
-	zone    model.ZoneName
+	peer    Peer
 	serves  bool
 }
 
@@ -72,6 +73,8 @@
 	refused map[model.NodeName]*follower
 	// peers chooses the balancers that each follower is told of.
 	peers peerBook
+	// shownPeers is peers for other goroutines.
+	shownPeers atomic.Pointer[[]Peer]
 	// toldAt is when the other members were last told of the followers.
 	toldAt time.Time
 }
@@ -110,11 +113,21 @@
 // Followers returns the number of balancers that follow this node.
 func (publisher *Publisher) Followers() int { return len(publisher.followers) }
 
+// Peers returns the balancers that are known here and at other members. It may
+// be called from any goroutine; the list must not be modified.
+func (publisher *Publisher) Peers() []Peer {
+	if peers := publisher.shownPeers.Load(); peers != nil {
+		return *peers
+	}
+	return nil
+}
+
 // Reconcile implements board.Controller.
 func (publisher *Publisher) Reconcile(now time.Time) {
 	publisher.takeSubscriptions(now)
 	publisher.takeOthers(now)
 	publisher.dropSilent(now)
+	publisher.shownPeers.Store(publisher.peers.list())
 	publisher.tellMembers(now)
 	batch := batch{
 		store:    publisher.store,
@@ -174,7 +187,7 @@
 	var told []Peer
 	for _, name := range sortedNames(publisher.followers) {
 		if known := publisher.followers[name]; known.serves && len(told) < toldPeers {
-			told = append(told, Peer{Name: name, Zone: known.zone})
+			told = append(told, known.peer)
 		}
 	}
 	for _, member := range publisher.source.Members() {
@@ -211,6 +224,7 @@
 func (publisher *Publisher) takeSubscriptions(now time.Time) {
 	for _, envelope := range publisher.subscriptions.Drain() {
 		asked, _ := envelope.Message.(Subscribe)
+		heard := Peer{Name: envelope.From, Zone: asked.Zone, Renewals: asked.Renewals}
 		known := publisher.followers[envelope.From]
 		switch {
 		case known != nil:
@@ -222,9 +236,9 @@
 			publisher.followers[envelope.From] = known
 		}
 		if asked.Serves {
-			publisher.peers.hear(Peer{Name: envelope.From, Zone: asked.Zone}, now)
+			publisher.peers.hear(heard, now)
 		}
-		*known = follower{heardAt: now, sent: asked.Have, zone: asked.Zone, serves: asked.Serves}
+		*known = follower{heardAt: now, sent: asked.Have, peer: heard, serves: asked.Serves}
 	}
 }
 
@@ -241,7 +255,7 @@
 	} else {
 		known.members = update.Members
 	}
-	if peers := publisher.peers.choose(name, known.zone); !slices.Equal(known.peers, peers) {
+	if peers := publisher.peers.choose(name, known.peer.Zone); !slices.Equal(known.peers, peers) {
 		update.Peers = peers
 		known.peers = peers
 	}
--- a/internal/direct/feed/subscriber.go
+++ b/internal/direct/feed/subscriber.go
@@ -48,6 +48,9 @@
 	Zone model.ZoneName
 	// Serves tells that other balancers may follow this one.
 	Serves bool
+	// Renewals is the address at which this balancer takes renewals; empty when
+	// it takes none.
+	Renewals string
 	// OnChange, when it is not nil, is called with each update that changed
 	// the table.
 	OnChange func(changes directory.Changes, from model.NodeName)
@@ -257,7 +260,10 @@
 
 func (subscriber *Subscriber) ask(node model.NodeName) {
 	subscriber.mailbox.Send(node, Subscribe{
-		Have: subscriber.table.Revision(), Zone: subscriber.options.Zone, Serves: subscriber.options.Serves,
+		Have:     subscriber.table.Revision(),
+		Zone:     subscriber.options.Zone,
+		Serves:   subscriber.options.Serves,
+		Renewals: subscriber.options.Renewals,
 	})
 }
 
--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -74,6 +74,7 @@
 			registrar.NewRenewed,
 			provideProposer,
 			provideRegistrar,
+			provideHandOver,
 			provideCalls,
 			provideHealth,
 			providePublisher,
@@ -112,8 +113,12 @@
 	return registrar.NewRegistrar(state, proposer, group, renewed, logger.Named("registrar"))
 }
 
-func provideCalls(chosen settings.Settings, taker *registrar.Registrar) *registrar.Calls {
-	return registrar.NewCalls(taker, chosen.Direct.AnswerWithin)
+func provideHandOver(chosen settings.Settings, publisher *feed.Publisher) *registrar.HandOver {
+	return registrar.NewHandOver(chosen.Direct.RenewalsPerSecond, publisher.Peers)
+}
+
+func provideCalls(chosen settings.Settings, taker *registrar.Registrar, handOver *registrar.HandOver) *registrar.Calls {
+	return registrar.NewCalls(taker, handOver, chosen.Direct.AnswerWithin)
 }
 
 func provideHealth(chosen settings.Settings, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher,
--- a/internal/direct/registrar/calls.go
+++ b/internal/direct/registrar/calls.go
@@ -13,19 +13,25 @@
 // servers that run a goroutine for each call.
 type Calls struct {
 	registrar *Registrar
+	handOver  *HandOver
 	within    time.Duration
 }
 
 // NewCalls returns calls that end within a time.
-func NewCalls(registrar *Registrar, within time.Duration) *Calls {
-	return &Calls{registrar: registrar, within: within}
+func NewCalls(registrar *Registrar, handOver *HandOver, within time.Duration) *Calls {
+	return &Calls{registrar: registrar, handOver: handOver, within: within}
 }
 
-// Register takes a target's registration or renewal.
-func (calls *Calls) Register(ctx context.Context, stated directory.Target) error {
-	return calls.wait(ctx, func(now, deadline time.Time, done func(error)) {
+// Register takes a target's registration or renewal. It returns the address at
+// which the target is to renew from now on, or nothing for "where it likes".
+func (calls *Calls) Register(ctx context.Context, stated directory.Target) (string, error) {
+	err := calls.wait(ctx, func(now, deadline time.Time, done func(error)) {
 		calls.registrar.Register(now, stated, deadline, done)
 	})
+	if err != nil {
+		return "", err
+	}
+	return calls.handOver.Place(time.Now(), stated), nil
 }
 
 // Leave takes a target's notice that it leaves for good.
--- a/internal/direct/registrar/health_renewals.go
+++ b/internal/direct/registrar/health_renewals.go
@@ -25,23 +25,26 @@
 		return renewals
 	}
 	health.toldAt = now
-	own := len(renewals)
-	health.renewed.Range(func(id directory.TargetID, row board.Row[time.Time]) bool {
-		renewals = append(renewals, Renewal{ID: id, Ago: now.Sub(row.Value)})
-		return true
-	})
-	for _, renewal := range renewals[own:] {
-		health.forgetRenewal(renewal.ID, now.Add(-renewal.Ago))
-	}
+	renewals = append(renewals, TakeRenewals(health.renewed, now)...)
 	slices.SortFunc(renewals, func(left, right Renewal) int { return cmp.Compare(left.ID, right.ID) })
 	return renewals
 }
 
-// forgetRenewal takes a renewal out of the table, unless a later one came.
-func (health *Health) forgetRenewal(id directory.TargetID, taken time.Time) {
-	health.renewed.Update(id, func(at time.Time, exists bool) (time.Time, bool) {
-		return at, exists && at.After(taken)
+// TakeRenewals returns what the table has and takes it out, but for targets
+// that renew meanwhile.
+func TakeRenewals(renewed *Renewed, now time.Time) []Renewal {
+	var renewals []Renewal
+	renewed.Range(func(id directory.TargetID, row board.Row[time.Time]) bool {
+		renewals = append(renewals, Renewal{ID: id, Ago: now.Sub(row.Value)})
+		return true
 	})
+	for _, renewal := range renewals {
+		taken := now.Add(-renewal.Ago)
+		renewed.Update(renewal.ID, func(at time.Time, exists bool) (time.Time, bool) {
+			return at, exists && at.After(taken)
+		})
+	}
+	return renewals
 }
 
 // passOn sends the leader what this member heard.
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -267,6 +267,18 @@
 	return target.TargetEntry, true
 }
 
+// FindTarget returns the target with the identifier.
+func (table *Table) FindTarget(id directory.TargetID) (directory.TargetEntry, bool) {
+	table.lock.RLock()
+	defer table.lock.RUnlock()
+	for _, target := range table.targets {
+		if target.ID == id {
+			return target.TargetEntry, true
+		}
+	}
+	return directory.TargetEntry{}, false
+}
+
 // Avoid keeps new flows off a target that a probe found dead.
 func (table *Table) Avoid(token directory.Token, now time.Time) {
 	table.lock.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,12 @@
 	// PeerFollowers bounds the balancers that a balancer feeds. Zero, or no
 	// listen address, feeds none.
 	PeerFollowers int `koanf:"peer_followers" validate:"min=0,max=10000"`
+	// Renewals is the address on which a balancer takes renewals of targets
+	// that members hand over; empty takes none.
+	Renewals string `koanf:"renewals" validate:"omitempty,hostport"`
+	// RenewalsPerSecond is the number of renewals that a member takes before it
+	// hands targets over to balancers. Zero hands over none.
+	RenewalsPerSecond int `koanf:"renewals_per_second" validate:"min=0,max=1000000"`
 	// ToleratedLosses is the number of members that may be lost at once; the
 	// group keeps twice as many voters and one more, and three at the least.
 	ToleratedLosses int `koanf:"tolerated_losses" validate:"min=0,max=4"`
@@ -323,6 +329,7 @@
 		Direct: Direct{
 			Followers:         64,
 			PeerFollowers:     16,
+			RenewalsPerSecond: 100,
 			ToleratedLosses:   1,
 			ElectionTimeout:   400 * time.Millisecond,
 			HeartbeatInterval: 80 * time.Millisecond,
