Ask one node at a time for a first table

A balancer without a table asked the next member every 40 ms whether the one before had answered or not. Each answer is the whole table; at 3,000 targets that is some 200 kB, and a link of 2.6 Mbit/s needs 0.6 s for one.

While the connection to the asked node stands and it has not answered, the next one is asked after 150 ms, doubling to 1.2 s. A node that does not connect, or whose answer does not serve, is left after 40 ms as before.

--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -67,6 +67,11 @@
 	connector.links.Dial(direct.Peer(node))
 }
 
+// Connected implements feed.Connector.
+func (connector linkConnector) Connected(node model.NodeName) bool {
+	return connector.links.Connected(node)
+}
+
 // Disconnect implements feed.Connector.
 func (connector linkConnector) Disconnect(node model.NodeName) { connector.links.Hangup(node) }
 
--- a/internal/direct/feed/feed_test.go
+++ b/internal/direct/feed/feed_test.go
@@ -61,6 +61,9 @@
 // Connect implements Connector.
 func (connector connector) Connect(member model.NodeName) { connector[member] = true }
 
+// Connected implements Connector.
+func (connector connector) Connected(member model.NodeName) bool { return connector[member] }
+
 // Disconnect implements Connector.
 func (connector connector) Disconnect(member model.NodeName) { delete(connector, member) }
 
@@ -132,6 +135,28 @@
 	require.Equal(t, uint64(2), pair.table.Version())
 }
 
+// TestOneNodeIsAskedAtATime: an answer takes longer than the time between two
+// attempts to connect.
+func TestOneNodeIsAskedAtATime(t *testing.T) {
+	first, second := newMember("a"), newMember("b")
+	first.declare(t, 1)
+	second.declare(t, 1)
+	pair := newPair(t, first, second)
+	asked := 0
+	pair.lose = func(envelope protocol.Envelope) bool {
+		if _, isQuestion := envelope.Message.(Subscribe); isQuestion {
+			asked++
+		}
+		_, isAnswer := envelope.Message.(Update)
+		return isAnswer && pair.now.Sub(start) < 120*time.Millisecond
+	}
+	pair.run(140 * time.Millisecond)
+	require.Equal(t, 1, asked)
+	pair.run(answerLeast + 50*time.Millisecond)
+	require.Equal(t, 2, asked, "a node that does not answer is left")
+	require.True(t, pair.table.Serving())
+}
+
 func TestLostUpdateIsAskedForAgain(t *testing.T) {
 	only := newMember("a")
 	only.declare(t, 1)
--- a/internal/direct/feed/peers_test.go
+++ b/internal/direct/feed/peers_test.go
@@ -22,15 +22,29 @@
 	replica    *Replica
 	publisher  *Publisher
 	reports    *Reports
+	// fabric is set once the node is part of one.
+	fabric *fabric
 }
 
+// Connect implements Connector.
+func (node *node) Connect(model.NodeName) {}
+
+// Connected implements Connector: a connection stands to what is there and not
+// cut off.
+func (node *node) Connected(other model.NodeName) bool {
+	return node.fabric.has(other) && !node.fabric.cut[[2]model.NodeName{node.mailbox.Self, other}]
+}
+
+// Disconnect implements Connector.
+func (node *node) Disconnect(model.NodeName) {}
+
 func newNode(name model.NodeName, limit int, seeds ...model.NodeName) *node {
 	made := &node{mailbox: protocol.NewMailbox(name), table: steer.NewTable(steer.DefaultOptions())}
 	made.dispatcher = protocol.NewDispatcher(made.mailbox)
 	made.subscriber = NewSubscriber(SubscriberOptions{
 		Seeds: seeds, Zone: "a", Serves: true,
 		OnChange: func(changes directory.Changes, _ model.NodeName) { made.replica.Took(changes) },
-	}, made.mailbox, made.dispatcher, made.table, make(connector))
+	}, made.mailbox, made.dispatcher, made.table, made)
 	made.replica = NewReplica(made.table, made.subscriber)
 	made.publisher = NewPublisher(PublisherOptions{Limit: limit}, made.mailbox, made.dispatcher, made.replica, made.replica)
 	made.reports = NewReports(made.mailbox, made.dispatcher, made.subscriber.Following)
@@ -49,7 +63,25 @@
 }
 
 func newFabric(members []*member, nodes ...*node) *fabric {
-	return &fabric{now: start, members: members, nodes: nodes, cut: make(map[[2]model.NodeName]bool)}
+	made := &fabric{now: start, members: members, nodes: nodes, cut: make(map[[2]model.NodeName]bool)}
+	for _, node := range nodes {
+		node.fabric = made
+	}
+	return made
+}
+
+func (fabric *fabric) has(name model.NodeName) bool {
+	for _, member := range fabric.members {
+		if member.mailbox.Self == name {
+			return true
+		}
+	}
+	for _, node := range fabric.nodes {
+		if node.mailbox.Self == name {
+			return true
+		}
+	}
+	return false
 }
 
 func (fabric *fabric) separate(one, other model.NodeName) {
--- a/internal/direct/feed/subscriber.go
+++ b/internal/direct/feed/subscriber.go
@@ -24,6 +24,12 @@
 	// silenceLimit is how old the word of a quorum may get before another node
 	// is tried.
 	silenceLimit = 700 * time.Millisecond
+	// answerLeast is how long a node that is connected may take to answer before
+	// the next one is asked; each time that passes without an answer doubles it,
+	// up to answerMost. A whole table takes a while on a slow link, and asking
+	// several nodes at once would bring as many of them.
+	answerLeast = 150 * time.Millisecond
+	answerMost  = 1200 * time.Millisecond
 	// returnInterval is the time between two members that are tried while a
 	// balancer is followed.
 	returnInterval = time.Second
@@ -36,6 +42,8 @@
 type Connector interface {
 	// Connect keeps a connection to the node from now on.
 	Connect(node model.NodeName)
+	// Connected tells whether the connection stands.
+	Connected(node model.NodeName) bool
 	// Disconnect closes it.
 	Disconnect(node model.NodeName)
 }
@@ -81,7 +89,12 @@
 	freshAt   time.Time
 	askedAt   time.Time
 	triedAt   time.Time
-	position  int
+	// tried is the node that was asked last while searching, answered tells
+	// whether it did, and patience is how long it may take once it is connected.
+	tried    model.NodeName
+	answered bool
+	patience time.Duration
+	position int
 }
 
 // NewSubscriber returns the controller that keeps table.
@@ -95,6 +108,7 @@
 		seeds:     slices.Clone(options.Seeds),
 		members:   slices.Clone(options.Seeds),
 		connected: make(map[model.NodeName]bool),
+		patience:  answerLeast,
 	}
 	created.show()
 	return created
@@ -159,7 +173,7 @@
 	subscriber.show()
 	switch {
 	case subscriber.following == "":
-		subscriber.search(now, searchInterval, subscriber.candidates())
+		subscriber.searchAnew(now)
 	case now.Sub(subscriber.askedAt) >= subscribeInterval:
 		subscriber.askedAt = now
 		subscriber.ask(subscriber.following)
@@ -168,6 +182,22 @@
 	}
 }
 
+// searchAnew asks the next node once the one before it does not connect, or
+// does not answer.
+func (subscriber *Subscriber) searchAnew(now time.Time) {
+	pause := searchInterval
+	if !subscriber.answered && subscriber.tried != "" && subscriber.connector.Connected(subscriber.tried) {
+		pause = subscriber.patience
+	}
+	if now.Sub(subscriber.triedAt) < pause {
+		return
+	}
+	if pause == subscriber.patience {
+		subscriber.patience = min(2*subscriber.patience, answerMost)
+	}
+	subscriber.search(now, pause, subscriber.candidates())
+}
+
 func (subscriber *Subscriber) isMember(node model.NodeName) bool {
 	return slices.Contains(subscriber.members, node)
 }
@@ -187,6 +217,7 @@
 	if len(update.Peers) > 0 {
 		subscriber.peers = update.Peers
 	}
+	subscriber.answered = subscriber.answered || from == subscriber.tried
 	before := subscriber.table.Revision()
 	current := subscriber.table.Apply(update.Changes, now)
 	if subscriber.table.Revision() > before && subscriber.options.OnChange != nil {
@@ -228,6 +259,7 @@
 		return
 	}
 	subscriber.following = node
+	subscriber.patience = answerLeast
 	subscriber.askedAt = now
 	for other := range subscriber.connected {
 		if other != node {
@@ -251,6 +283,8 @@
 	start := int(xxhash.Sum64String(string(subscriber.mailbox.Self)) % uint64(len(nodes)))
 	node := nodes[(start+subscriber.position)%len(nodes)]
 	subscriber.position++
+	subscriber.tried = node
+	subscriber.answered = false
 	if !subscriber.connected[node] {
 		subscriber.connected[node] = true
 		subscriber.connector.Connect(node)
--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -47,6 +47,10 @@
 // Connect implements feed.Connector.
 func (noConnector) Connect(model.NodeName) {}
 
+// Connected implements feed.Connector. A node that does not answer is left at
+// once, as after a failed attempt to connect.
+func (noConnector) Connected(model.NodeName) bool { return false }
+
 // Disconnect implements feed.Connector.
 func (noConnector) Disconnect(model.NodeName) {}
 
