Prefer targets of the balancer's own zone for new flows

A target of the balancer's zone has four times the weight in the choice of a new flow. The choice stays the same at all balancers of a zone. Four, not all: a zone whose targets go for a while sends on to the others, and one target left of a zone gets at most about twice its share of the load.

--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -54,7 +54,11 @@
 	)
 }
 
-func newTable() *steer.Table { return steer.NewTable(steer.DefaultOptions()) }
+func newTable(chosen settings.Settings) *steer.Table {
+	options := steer.DefaultOptions()
+	options.Zone = chosen.Zone
+	return steer.NewTable(options)
+}
 
 // linkConnector makes connections to members and balancers by their names,
 // which are their addresses.
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -124,21 +124,21 @@
 // learned or avoided are left out while others are there.
 func (table *Table) rank(service string, hash uint64, now time.Time, ranked *[choicesKept]*record) int {
 	targets := table.services[service]
-	count := rankUsable(targets, hash, now, ranked, false)
+	count := table.rankUsable(targets, hash, now, ranked, false)
 	if count == 0 {
-		count = rankUsable(targets, hash, now, ranked, true)
+		count = table.rankUsable(targets, hash, now, ranked, true)
 	}
 	return count
 }
 
-func rankUsable(targets []*record, hash uint64, now time.Time, ranked *[choicesKept]*record, all bool) int {
+func (table *Table) rankUsable(targets []*record, hash uint64, now time.Time, ranked *[choicesKept]*record, all bool) int {
 	var scores [choicesKept]float64
 	count := 0
 	for _, target := range targets {
 		if !all && (now.Before(target.usableAt) || now.Before(target.avoidUntil)) {
 			continue
 		}
-		score := target.score(hash, now)
+		score := table.score(target, hash, now)
 		position := count
 		for position > 0 && scores[position-1] < score {
 			position--
@@ -157,8 +157,11 @@
 
 // score is the target's place in weighted rendezvous hashing: the target with
 // the highest score is chosen with a probability in proportion to its weight.
-func (target *record) score(hash uint64, now time.Time) float64 {
+func (table *Table) score(target *record, hash uint64, now time.Time) float64 {
 	weight := float64(max(target.Capacity, 1))
+	if target.near {
+		weight *= table.options.NearWeight
+	}
 	if now.Before(target.warmAt) {
 		weight *= coldWeight
 	}
--- a/internal/direct/steer/steer_test.go
+++ b/internal/direct/steer/steer_test.go
@@ -152,6 +152,40 @@
 	}
 }
 
+// TestNearTargetsGetMore: four targets of the balancer's own zone and eight
+// others.
+func TestNearTargetsGetMore(t *testing.T) {
+	changes := whole(12)
+	for index := range changes.Targets {
+		changes.Targets[index].Zone = "far"
+		if index < 4 {
+			changes.Targets[index].Zone = "near"
+		}
+	}
+	share := func(zone string) float64 {
+		options := DefaultOptions()
+		options.Zone = zone
+		table, other := NewTable(options), NewTable(options)
+		require.True(t, table.Apply(changes, start))
+		require.True(t, other.Apply(changes, start))
+		near := 0
+		const flows = 20_000
+		for port := range flows {
+			segment := opening(port + 1)
+			decision := table.Decide(segment, start)
+			require.Equal(t, decision, other.Decide(segment, start), "balancers of one zone choose alike")
+			if decision.Token <= 4 {
+				near++
+			}
+		}
+		return float64(near) / flows
+	}
+	require.InDelta(t, 16.0/24, share("near"), 0.02)
+	require.InDelta(t, 4.0/36, share("far"), 0.02)
+	require.InDelta(t, 4.0/12, share("elsewhere"), 0.02)
+	require.InDelta(t, 4.0/12, share(""), 0.02)
+}
+
 func TestPoolPartsGetTheirWeight(t *testing.T) {
 	changes := whole(3)
 	changes.Targets = append(changes.Targets, entry(8, "ledger", directory.TargetReady))
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -24,6 +24,10 @@
 	// AvoidFor is how long a target that a probe found dead gets no new flows
 	// from this balancer, unless the table says otherwise before.
 	AvoidFor time.Duration
+	// Zone is the balancer's zone. Targets of the same zone get NearWeight
+	// times as many of its new flows as others of the same capacity.
+	Zone       string
+	NearWeight float64
 }
 
 // DefaultOptions returns the bounds of processes.
@@ -32,6 +36,7 @@
 		SettleTime: 250 * time.Millisecond,
 		FreshFor:   1500 * time.Millisecond,
 		AvoidFor:   3 * time.Second,
+		NearWeight: 4,
 	}
 }
 
@@ -39,6 +44,8 @@
 type record struct {
 	directory.TargetEntry
 	seed uint64
+	// near tells that the target is in the balancer's zone.
+	near bool
 	// usableAt is when the target may get new flows.
 	usableAt time.Time
 	// warmAt is when the target is no longer slow from its start.
@@ -227,6 +234,7 @@
 			known.avoidUntil = time.Time{}
 		}
 		known.TargetEntry = entry
+		known.near = entry.Zone != "" && entry.Zone == table.options.Zone
 	}
 }
 
--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -57,7 +57,9 @@
 func (balancer *balancer) build(mailbox *protocol.Mailbox, _ model.Incarnation) kernel.Program {
 	dispatcher := protocol.NewDispatcher(mailbox)
 	balancer.startedAt = balancer.world.Now()
-	balancer.table = steer.NewTable(steer.DefaultOptions())
+	options := steer.DefaultOptions()
+	options.Zone = string(balancer.process.Zone)
+	balancer.table = steer.NewTable(options)
 	var replica *feed.Replica
 	subscriber := feed.NewSubscriber(feed.SubscriberOptions{
 		Seeds:    balancer.world.seeds(),
