Measure syncs, time without a leader, the table's age and waits for the link

Histograms that explain a slow or failed request from metrics alone: a member's syncs and times without a leader, a balancer's table age at decisions and the time that datagrams waited for the link. Servers of status and calls stop in one place, within a second.

--- a/internal/direct/balancernode/metrics.go
+++ b/internal/direct/balancernode/metrics.go
@@ -18,16 +18,36 @@
 	packets     *prometheus.Desc
 	malformedAs *prometheus.Desc
 
-	egress    *prometheus.Desc
-	counts    func() egress.Counts
-	table     *steer.Table
-	revision  *prometheus.Desc
-	version   *prometheus.Desc
-	confirmed *prometheus.Desc
+	egress *prometheus.Desc
+	counts func() egress.Counts
+	// tableAge has the ages of the table at decisions about new flows, and
+	// egressWait the times that datagrams waited for the link.
+	tableAge   prometheus.Histogram
+	egressWait prometheus.Histogram
+	table      *steer.Table
+	revision   *prometheus.Desc
+	version    *prometheus.Desc
+	confirmed  *prometheus.Desc
 }
 
+// ageBuckets and waitBuckets are bounds in seconds: from a member's last word to
+// a table that no longer counts as current, and from one datagram to a full
+// queue on a narrow link.
+var (
+	ageBuckets  = []float64{.05, .1, .25, .5, .7, 1, 1.5, 3, 10}
+	waitBuckets = []float64{.005, .01, .02, .05, .1, .2, .4, .8, 1.6}
+)
+
 func newMetrics(table *steer.Table) *metrics {
 	return &metrics{
+		tableAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "merlinpaddle_direct_table_age_seconds", Buckets: ageBuckets,
+			Help: "How long ago a quorum confirmed the table, at decisions about new flows.",
+		}),
+		egressWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "merlinpaddle_direct_egress_wait_seconds", Buckets: waitBuckets,
+			Help: "Time that datagrams waited for the link, of those that did.",
+		}),
 		table: table,
 		revision: prometheus.NewDesc("merlinpaddle_direct_table_revision",
 			"The revision of this balancer's table; 0 without one.", nil, nil),
--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -182,7 +182,8 @@
 func run(parts parts) {
 	parts.Readiness.Set(readinessPart, false)
 	parts.Metrics.counts = parts.Forwarder.Counts
-	parts.Registry.MustRegister(parts.Metrics)
+	parts.Forwarder.ObserveWaits(func(waited time.Duration) { parts.Metrics.egressWait.Observe(waited.Seconds()) })
+	parts.Registry.MustRegister(parts.Metrics, parts.Metrics.tableAge, parts.Metrics.egressWait)
 	parts.Reloads.OnChange(func(changed settings.Settings) {
 		parts.Subscriber.SetSeeds(direct.SeedMembers(changed.Direct))
 	})
--- a/internal/direct/balancernode/observer.go
+++ b/internal/direct/balancernode/observer.go
@@ -28,6 +28,9 @@
 	if decision.Reason == steer.ReasonOwner {
 		return
 	}
+	if decision.Reason == steer.ReasonChosen {
+		observer.metrics.tableAge.Observe(decision.ConfirmedAgo.Seconds())
+	}
 	message := "packet dropped"
 	switch decision.Action {
 	case steer.Forward:
--- a/internal/direct/egress/egress.go
+++ b/internal/direct/egress/egress.go
@@ -42,6 +42,9 @@
 	queue *fairQueue
 	pacer pacer
 
+	// observe is told how long each datagram waited that did.
+	observe func(waited time.Duration)
+
 	sent, waited, repeated, refused atomic.Uint64
 }
 
@@ -53,9 +56,15 @@
 		notice: make(chan struct{}, 1),
 		queue:  newFairQueue(queueLimit),
 		pacer:  pacer{bytesPerSecond: bytesPerSecond},
+
+		observe: func(time.Duration) {},
 	}
 }
 
+// Observe makes observe be told how long each datagram waited for the link that
+// did. It is set before the first Send and must return at once.
+func (egress *Egress) Observe(observe func(waited time.Duration)) { egress.observe = observe }
+
 // Counts returns the counts since the start.
 func (egress *Egress) Counts() Counts {
 	return Counts{
@@ -76,6 +85,7 @@
 		return
 	}
 	kept := datagram
+	kept.since = now
 	kept.Content = append([]byte(nil), datagram.Content...)
 	switch egress.queue.put(&kept) {
 	case repeated:
@@ -110,7 +120,9 @@
 		if wait := egress.pacer.wait(now); wait > 0 {
 			return wait
 		}
-		egress.transmit(egress.queue.take(), now)
+		next := egress.queue.take()
+		egress.observe(now.Sub(next.since))
+		egress.transmit(next, now)
 	}
 	return 0
 }
--- a/internal/direct/egress/queue.go
+++ b/internal/direct/egress/queue.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"net/netip"
+	"time"
 )
 
 // Flow names a flow by its two ends.
@@ -22,6 +23,8 @@
 	Sequence uint32
 	HasData  bool
 	Content  []byte
+	// since is when the datagram began to wait.
+	since time.Time
 }
 
 // repeats tells whether other carries the same data to the same place.
@@ -98,6 +101,7 @@
 	for index, known := range waiting.datagrams {
 		if known.repeats(added) {
 			queue.bytes += len(added.Content) - len(known.Content)
+			added.since = known.since
 			waiting.datagrams[index] = added
 			return true
 		}
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -92,6 +92,12 @@
 // Counts returns what became of the datagrams that were sent.
 func (forwarder *Forwarder) Counts() egress.Counts { return forwarder.egress.Counts() }
 
+// ObserveWaits makes observe be told how long each datagram waited for the link
+// that did. It is set before the first packet.
+func (forwarder *Forwarder) ObserveWaits(observe func(waited time.Duration)) {
+	forwarder.egress.Observe(observe)
+}
+
 // Drain sends the datagrams that wait for the link, until ctx ends.
 func (forwarder *Forwarder) Drain(ctx context.Context) error { return forwarder.egress.Run(ctx) }
 
--- a/internal/direct/member/connections.go
+++ b/internal/direct/member/connections.go
@@ -25,9 +25,12 @@
 	logger    *zap.Logger
 	dialled   map[model.NodeName]bool
 
-	leader  model.NodeName
-	term    uint64
-	members int
+	times *times
+	// aloneSince is since when no leader is known; zero while one is.
+	aloneSince time.Time
+	leader     model.NodeName
+	term       uint64
+	members    int
 }
 
 func newConnections(parts parts) *connections {
@@ -38,6 +41,7 @@
 		readiness: parts.Readiness,
 		logger:    parts.Logger.Named("group"),
 		dialled:   make(map[model.NodeName]bool),
+		times:     parts.Times,
 	}
 	created.setSeeds(direct.SeedMembers(parts.Settings.Direct))
 	return created
@@ -67,9 +71,21 @@
 		}
 	}
 	connections.readiness.Set(readinessPart, status.Leader != "")
+	connections.measure(now, status.Leader != "")
 	connections.say(status)
 }
 
+// measure observes how long no leader was known.
+func (connections *connections) measure(now time.Time, led bool) {
+	switch {
+	case !led && connections.aloneSince.IsZero():
+		connections.aloneSince = now
+	case led && !connections.aloneSince.IsZero():
+		connections.times.leaderless.Observe(now.Sub(connections.aloneSince).Seconds())
+		connections.aloneSince = time.Time{}
+	}
+}
+
 // wanted returns the other nodes to be connected to.
 func (connections *connections) wanted(status replica.Status) []model.NodeName {
 	names := slices.Clone(*connections.seeds.Load())
--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -22,6 +22,7 @@
 	"merlinpaddle/internal/direct/probe"
 	"merlinpaddle/internal/direct/registrar"
 	"merlinpaddle/internal/filesystem"
+	"merlinpaddle/internal/filesystem/measured"
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/process"
 	"merlinpaddle/internal/protocol"
@@ -68,6 +69,7 @@
 		transport.ModuleWith(transport.QuickTiming()),
 		fx.Provide(
 			directory.New,
+			newTimes,
 			process.ProvideFolder,
 			provideReplica,
 			replica.NewNode,
@@ -86,7 +88,7 @@
 }
 
 func provideReplica(chosen settings.Settings, files filesystem.FileSystem, mailbox *protocol.Mailbox,
-	dispatcher *protocol.Dispatcher, state *directory.Directory) (*replica.Controller, error) {
+	dispatcher *protocol.Dispatcher, state *directory.Directory, times *times) (*replica.Controller, error) {
 	self := model.NodeName(chosen.Node)
 	seeds := direct.SeedMembers(chosen.Direct)
 	return replica.NewController(replica.Options{
@@ -102,7 +104,7 @@
 		SnapshotEvery:     chosen.Direct.SnapshotEvery,
 		SegmentBytes:      segmentBytes,
 		Seed:              rand.Uint64(),
-	}, files, mailbox, dispatcher, state)
+	}, measured.New(files, times.observeSync), mailbox, dispatcher, state)
 }
 
 func provideProposer(mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, group *replica.Controller, state *directory.Directory) *registrar.Proposer {
@@ -183,6 +185,7 @@
 	Health      *registrar.Health
 	Publisher   *feed.Publisher
 	Reconfigure *reconfigure.Controller
+	Times       *times
 	Reloads     *process.Reloads
 }
 
--- /dev/null
+++ b/internal/filesystem/measured/measured.go
@@ -0,0 +1,58 @@
+// Package measured wraps a data folder and tells how long its syncs take.
+package measured
+
+import (
+	"time"
+
+	"merlinpaddle/internal/filesystem"
+)
+
+// Folder is a data folder whose syncs are measured.
+type Folder struct {
+	filesystem.FileSystem
+	observe func(took time.Duration)
+}
+
+// New returns files, with observe told of each sync; it must return at once.
+func New(files filesystem.FileSystem, observe func(took time.Duration)) *Folder {
+	return &Folder{FileSystem: files, observe: observe}
+}
+
+// Create implements filesystem.FileSystem.
+func (folder *Folder) Create(name string) (filesystem.File, error) {
+	return folder.wrap(folder.FileSystem.Create(name))
+}
+
+// OpenWrite implements filesystem.FileSystem.
+func (folder *Folder) OpenWrite(name string) (filesystem.File, error) {
+	return folder.wrap(folder.FileSystem.OpenWrite(name))
+}
+
+func (folder *Folder) wrap(opened filesystem.File, err error) (filesystem.File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &file{File: opened, folder: folder}, nil
+}
+
+// SyncDir implements filesystem.FileSystem.
+func (folder *Folder) SyncDir(name string) error {
+	begin := time.Now()
+	err := folder.FileSystem.SyncDir(name)
+	folder.observe(time.Since(begin))
+	return err
+}
+
+// file is an open file whose syncs are measured.
+type file struct {
+	filesystem.File
+	folder *Folder
+}
+
+// Sync implements filesystem.File.
+func (file *file) Sync() error {
+	begin := time.Now()
+	err := file.File.Sync()
+	file.folder.observe(time.Since(begin))
+	return err
+}
--- a/internal/process/status.go
+++ b/internal/process/status.go
@@ -59,6 +59,20 @@
 			})
 			return nil
 		},
-		server.Shutdown,
+		func(ctx context.Context) { StopServer(ctx, server) },
 	))
 }
+
+// callsTimeout bounds the wait for calls under way when a server stops.
+const callsTimeout = time.Second
+
+// StopServer lets calls under way end for a second and then closes their
+// connections: a caller that never sends the rest of its call must not hold up
+// the stop of the process.
+func StopServer(ctx context.Context, server *http.Server) {
+	within, cancel := context.WithTimeout(ctx, callsTimeout)
+	defer cancel()
+	if server.Shutdown(within) != nil {
+		_ = server.Close()
+	}
+}
