Read and change declared configurations by merlinctl

An operator of direct services had only the platform's own call. A member now serves the declared configuration and its targets in the product's terms on direct.admin (none by default; it asks for no token), and merlinctl direct has get, diff, apply [--wait] and targets. A configuration is one YAML file; what get prints can be applied.

Test. internal/direct/admin (round trip, every bad field, failover), merlinctl TestDirectApplyDiffAndGet, TestDirectNamesWhatIsWrong.

--- /dev/null
+++ b/internal/direct/admin/server.go
@@ -0,0 +1,164 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/registrar"
+	"merlinpaddle/internal/faults"
+	"merlinpaddle/internal/process"
+	"merlinpaddle/internal/settings"
+)
+
+// The paths of the interface.
+const (
+	pathConfiguration = "/direct/configuration"
+	pathTargets       = "/direct/targets"
+)
+
+const (
+	// maximumDocument bounds a document, in bytes.
+	maximumDocument = 16 << 20
+	headerTimeout   = 2 * time.Second
+)
+
+// Declarations takes and returns the declared configuration; registrar.Calls
+// implements it.
+type Declarations interface {
+	// Declare replaces the declared configuration.
+	Declare(ctx context.Context, next *declared.Configuration) error
+	// Configuration returns the newest declared configuration.
+	Configuration(ctx context.Context) (*declared.Configuration, error)
+}
+
+// Target is what operators see of one incarnation of a target.
+type Target struct {
+	ID       uint64 `json:"id"`
+	Token    uint32 `json:"token"`
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	State    string `json:"state"`
+	Revision uint64 `json:"revision"`
+}
+
+// refusal is the body of an answer that is no success.
+type refusal struct {
+	Code  int    `json:"code"`
+	Error string `json:"error"`
+}
+
+// Handler serves the interface of one member.
+func Handler(declarations Declarations, state *directory.Directory, logger *zap.Logger) http.Handler {
+	server := &server{declarations: declarations, directory: state, logger: logger}
+	router := chi.NewRouter()
+	router.Get(pathConfiguration, server.getConfiguration)
+	router.Put(pathConfiguration, server.putConfiguration)
+	router.Get(pathTargets, server.getTargets)
+	return router
+}
+
+type server struct {
+	declarations Declarations
+	directory    *directory.Directory
+	logger       *zap.Logger
+}
+
+func (server *server) getConfiguration(writer http.ResponseWriter, request *http.Request) {
+	held, err := server.declarations.Configuration(request.Context())
+	if err != nil {
+		server.refuse(writer, err)
+		return
+	}
+	server.answer(writer, DocumentOf(held))
+}
+
+func (server *server) putConfiguration(writer http.ResponseWriter, request *http.Request) {
+	var document Document
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maximumDocument))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&document); err != nil {
+		server.refuse(writer, faults.New(faults.ConfigurationInvalid, "%v", err))
+		return
+	}
+	stated, err := document.Configuration()
+	if err == nil {
+		err = server.declarations.Declare(request.Context(), stated)
+	}
+	if err != nil {
+		server.refuse(writer, err)
+		return
+	}
+	server.answer(writer, struct{}{})
+}
+
+func (server *server) getTargets(writer http.ResponseWriter, _ *http.Request) {
+	targets := []Target{}
+	for _, held := range server.directory.Targets() {
+		targets = append(targets, Target{
+			ID:       uint64(held.ID),
+			Token:    uint32(held.Token),
+			Service:  held.Service,
+			Address:  held.Address.String(),
+			Zone:     held.Zone,
+			State:    held.State.String(),
+			Revision: uint64(held.Revision),
+		})
+	}
+	server.answer(writer, targets)
+}
+
+func (server *server) answer(writer http.ResponseWriter, value any) {
+	writer.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(writer).Encode(value); err != nil {
+		server.logger.Warn("answer not written", zap.Error(err))
+	}
+}
+
+// refuse tells the caller a failure: 400 for what is invalid, 503 for what
+// another member may take.
+func (server *server) refuse(writer http.ResponseWriter, err error) {
+	code := faults.CodeOf(err)
+	status := http.StatusServiceUnavailable
+	if code == faults.ConfigurationInvalid {
+		status = http.StatusBadRequest
+	}
+	server.logger.Info("operator's call refused", zap.Int("code", int(code)), zap.Int("status", status), zap.Error(err))
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(refusal{Code: int(code), Error: err.Error()})
+}
+
+// Serve runs the interface on direct.admin, if the settings name it.
+func Serve(lifecycle fx.Lifecycle, tasks *process.Tasks, chosen settings.Settings, calls *registrar.Calls, state *directory.Directory, logger *zap.Logger) {
+	if chosen.Direct.Admin == "" {
+		return
+	}
+	server := &http.Server{Handler: Handler(calls, state, logger.Named("admin")), ReadHeaderTimeout: headerTimeout}
+	lifecycle.Append(fx.StartStopHook(
+		func() error {
+			listener, err := net.Listen("tcp", chosen.Direct.Admin)
+			if err != nil {
+				return faults.New(faults.CodeAddressInUse, "direct.admin: listen on %s: %v", chosen.Direct.Admin, err)
+			}
+			tasks.Go("admin", func(context.Context) error {
+				if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+					return err
+				}
+				return nil
+			})
+			return nil
+		},
+		func(ctx context.Context) { process.StopServer(ctx, server) },
+	))
+}
--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -17,6 +17,7 @@
 
 	"merlinpaddle/internal/board"
 	"merlinpaddle/internal/direct"
+	"merlinpaddle/internal/direct/admin"
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/probe"
@@ -83,7 +84,7 @@
 			provideReconfigure,
 		),
 		fx.Provide(newMetrics),
-		fx.Invoke(func(*metrics) {}, run),
+		fx.Invoke(func(*metrics) {}, admin.Serve, run),
 	)
 }
 
--- /dev/null
+++ b/internal/merlinctl/direct.go
@@ -0,0 +1,177 @@
+package merlinctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+	"gopkg.in/yaml.v3"
+
+	"merlinpaddle/internal/direct/admin"
+	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/faults"
+)
+
+const directHelp = `Read and change the declared configuration of direct services, at the address
+"direct.admin" of any member. A configuration is one YAML file with a version of
+its own; the highest version holds, and sending one again is safe.`
+
+// inForcePause is the wait between two looks whether a version holds.
+const inForcePause = 100 * time.Millisecond
+
+// directTool is what the commands of direct services share.
+type directTool struct {
+	tool    *tool
+	members []string
+	wait    bool
+}
+
+func (tool *tool) directCommand() *cobra.Command {
+	direct := &directTool{tool: tool}
+	command := &cobra.Command{
+		Use:   "direct",
+		Short: "Look after direct services",
+		Long:  directHelp,
+		RunE:  needsSubcommand,
+		Args:  cobra.ArbitraryArgs,
+		// Members are named by a flag, so that no settings are needed.
+		PersistentPreRunE: func(*cobra.Command, []string) error { return nil },
+	}
+	command.PersistentFlags().StringSliceVar(&direct.members, "member", nil, `admin addresses of members, tried in turn ("HOST:PORT")`)
+	apply := &cobra.Command{Use: "apply FILE", Short: "Declare the configuration in FILE", Args: cobra.ExactArgs(1), RunE: direct.run(direct.apply)}
+	apply.Flags().BoolVar(&direct.wait, "wait", false, "wait until a confirmed read returns the version")
+	command.AddCommand(
+		&cobra.Command{Use: "get", Short: "Print the declared configuration as YAML", Args: cobra.NoArgs, RunE: direct.run(direct.get)},
+		&cobra.Command{Use: "diff FILE", Short: "Print what FILE would change", Args: cobra.ExactArgs(1), RunE: direct.run(direct.diff)},
+		apply,
+		&cobra.Command{Use: "targets", Short: "List the targets that a member holds", Args: cobra.NoArgs, RunE: direct.run(direct.targets)},
+	)
+	return command
+}
+
+func (direct *directTool) run(action func(ctx context.Context, client *admin.Client, arguments []string) error) func(*cobra.Command, []string) error {
+	return func(command *cobra.Command, arguments []string) error {
+		return action(command.Context(), &admin.Client{Members: direct.members}, arguments)
+	}
+}
+
+func (direct *directTool) get(ctx context.Context, client *admin.Client, _ []string) error {
+	held, err := client.Configuration(ctx)
+	if err != nil {
+		return err
+	}
+	encoder := yaml.NewEncoder(direct.tool.output)
+	defer encoder.Close()
+	return encoder.Encode(held)
+}
+
+func (direct *directTool) diff(ctx context.Context, client *admin.Client, arguments []string) error {
+	document, err := direct.read(arguments[0])
+	if err != nil {
+		return err
+	}
+	next, err := document.Configuration()
+	if err != nil {
+		return err
+	}
+	if err := next.Validate(); err != nil {
+		return err
+	}
+	held, err := client.Configuration(ctx)
+	if err != nil {
+		return err
+	}
+	base, err := held.Configuration()
+	if err != nil {
+		return err
+	}
+	direct.printDifference(base, next)
+	return nil
+}
+
+func (direct *directTool) printDifference(base, next *declared.Configuration) {
+	output := direct.tool.output
+	difference := declared.Compare(base, next)
+	fmt.Fprintf(output, "version %d -> %d\n", base.Version, next.Version)
+	if next.Version <= base.Version {
+		fmt.Fprintf(output, "nothing would change: version %d is not above the one that holds\n", next.Version)
+		return
+	}
+	for _, address := range difference.Removed {
+		fmt.Fprintf(output, "- route %s\n", address)
+	}
+	for _, route := range difference.Routes {
+		sign := "+"
+		if slices.ContainsFunc(base.Routes, func(known declared.Route) bool { return known.Address == route.Address }) {
+			sign = "~"
+		}
+		fmt.Fprintf(output, "%s route %s %s\n", sign, route.Address, route.Name)
+	}
+	if difference.ServicesChanged {
+		fmt.Fprintln(output, "~ services")
+	}
+	if difference.LimitsChanged {
+		fmt.Fprintln(output, "~ limits")
+	}
+}
+
+func (direct *directTool) apply(ctx context.Context, client *admin.Client, arguments []string) error {
+	document, err := direct.read(arguments[0])
+	if err != nil {
+		return err
+	}
+	if err := client.Declare(ctx, document); err != nil {
+		return err
+	}
+	fmt.Fprintf(direct.tool.output, "version %d is durable\n", document.Version)
+	for direct.wait {
+		held, err := client.Configuration(ctx)
+		if err == nil && held.Version >= document.Version {
+			fmt.Fprintf(direct.tool.output, "version %d holds\n", held.Version)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return faults.New(faults.CodeNotInForce, "the wait for version %d ended: %v", document.Version, ctx.Err())
+		case <-time.After(inForcePause):
+		}
+	}
+	return nil
+}
+
+func (direct *directTool) targets(ctx context.Context, client *admin.Client, _ []string) error {
+	targets, err := client.Targets(ctx)
+	if err != nil {
+		return err
+	}
+	printer := newPrinter(direct.tool.output, "TARGET", "SERVICE", "ADDRESS", "ZONE", "STATE", "TOKEN")
+	for _, target := range targets {
+		printer.row(strconv.FormatUint(target.ID, 16), target.Service, target.Address, target.Zone, target.State, number(target.Token))
+	}
+	return printer.flush()
+}
+
+// read reads a document from a file, or from standard input by "-".
+func (direct *directTool) read(path string) (admin.Document, error) {
+	var reader io.Reader = direct.tool.input
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return admin.Document{}, faults.New(faults.CodeUsage, "%v", err)
+		}
+		defer file.Close()
+		reader = file
+	}
+	decoder := yaml.NewDecoder(reader)
+	decoder.KnownFields(true)
+	var document admin.Document
+	if err := decoder.Decode(&document); err != nil {
+		return admin.Document{}, faults.New(faults.CodeUsage, "%s: %v", path, err)
+	}
+	return document, nil
+}
--- a/internal/merlinctl/root.go
+++ b/internal/merlinctl/root.go
@@ -92,7 +92,7 @@
 		tool.getCommand(), tool.listCommand(), tool.applyCommand(), tool.deleteCommand(),
 		tool.drainCommand(), tool.undrainCommand(), tool.waitCommand(), tool.rolloutCommand(),
 		tool.membersCommand(), tool.backupCommand(), tool.restoreCommand(), tool.statusCommand(),
-		tool.tokenCommand(), tool.explainCommand(),
+		tool.tokenCommand(), tool.explainCommand(), tool.directCommand(),
 	)
 	return root
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,10 @@
 	Bootstrap bool `koanf:"bootstrap"`
 	// API is the address on which a member serves targets and operators.
 	API string `koanf:"api" validate:"omitempty,hostport"`
+	// Admin is the address on which a member serves operators in the product's
+	// own terms (merlinctl direct); empty serves none. It asks for no token, so
+	// it belongs on a network of operators alone.
+	Admin string `koanf:"admin" validate:"omitempty,hostport"`
 	// Packets is the UDP address on which a balancer gets callers' packets.
 	Packets string `koanf:"packets" validate:"omitempty,hostport"`
 	// LinkMegabits is the rate of a balancer's link in Mbit/s. A balancer sends
