Set targets aside that take requests and leave them unanswered

Change. internal/direct/outcome. The leader sets targets aside that are five times worse than the middle one of their service, a fifth of a service at most, for 3 s, doubling to 30 s; all balancers learn it by the directory, and a new leader goes on from there. Open flows stay where they are. Where routers spray each packet, outcomes look alike at all targets and nothing is set aside.

--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -1,7 +1,7 @@
 // Package balancernode is the fx module of a balancer of direct services.
 //
 // It provides model.Role, *steer.Table, *feed.Subscriber, *feed.Publisher,
-// *renewal.Relay, *forwarder.Suspects and *forwarder.Forwarder, includes transport.Module, and
+// *renewal.Relay, *outcome.Tracker, *forwarder.Suspects and *forwarder.Forwarder, includes transport.Module, and
 // needs a forwarder.Codec besides what the process base provides.
 package balancernode
 
@@ -18,6 +18,7 @@
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/forwarder"
+	"merlinpaddle/internal/direct/outcome"
 	"merlinpaddle/internal/direct/probe"
 	"merlinpaddle/internal/direct/renewal"
 	"merlinpaddle/internal/direct/steer"
@@ -33,6 +34,8 @@
 	subscribeInterval = 40 * time.Millisecond
 	// publishInterval is how often the publisher runs without a notice.
 	publishInterval = time.Second
+	// outcomesInterval is how often outcomes are told.
+	outcomesInterval = 500 * time.Millisecond
 	// renewalsInterval is how often renewals are looked at.
 	renewalsInterval = 400 * time.Millisecond
 	// suspectsInterval is how often suspicions are looked at without a notice.
@@ -48,7 +51,7 @@
 	return fx.Module("direct balancer",
 		fx.Supply(model.RoleBalancer),
 		transport.ModuleWith(transport.QuickTiming()),
-		fx.Provide(newTable, provideSubscriber, provideReplica, providePublisher, provideReports, provideRelay, provideSuspects, provideForwarder, newMetrics, newObserver),
+		fx.Provide(newTable, provideSubscriber, provideReplica, providePublisher, provideReports, provideRelay, provideTracker, provideSuspects, provideForwarder, newMetrics, newObserver),
 		fx.Provide(newChangeListeners),
 		fx.Invoke(reportChanges, run),
 	)
@@ -147,16 +150,20 @@
 	return renewal.NewRelay(mailbox, dispatcher, table, subscriber.Following)
 }
 
+func provideTracker(mailbox *protocol.Mailbox, subscriber *feed.Subscriber) *outcome.Tracker {
+	return outcome.NewTracker(mailbox, subscriber.Following)
+}
+
 func provideSuspects(table *steer.Table, mailbox *protocol.Mailbox, subscriber *feed.Subscriber, logger *zap.Logger) *forwarder.Suspects {
 	return forwarder.NewSuspects(table, probe.New(probe.DialTCP), mailbox, subscriber.Following, logger.Named("targets"))
 }
 
-func provideForwarder(chosen settings.Settings, codec forwarder.Codec, table *steer.Table, suspects *forwarder.Suspects, observer *observer) (*forwarder.Forwarder, error) {
+func provideForwarder(chosen settings.Settings, codec forwarder.Codec, table *steer.Table, suspects *forwarder.Suspects, tracker *outcome.Tracker, observer *observer) (*forwarder.Forwarder, error) {
 	options := forwarder.Options{
 		Address:  chosen.Direct.Packets,
 		LinkRate: chosen.Direct.LinkMegabits * bytesPerMegabit,
 	}
-	return forwarder.New(options, codec, table, suspects, observer)
+	return forwarder.New(options, codec, table, suspects, tracker, observer)
 }
 
 // parts are what run needs; fx fills it.
@@ -174,6 +181,7 @@
 	Publisher  *feed.Publisher
 	Reports    *feed.Reports
 	Relay      *renewal.Relay
+	Tracker    *outcome.Tracker
 	Suspects   *forwarder.Suspects
 	Forwarder  *forwarder.Forwarder
 	Reloads    *process.Reloads
@@ -192,6 +200,7 @@
 		board.NewRunner(parts.Publisher, publishInterval,
 			append(parts.Publisher.Sources(), parts.Table.Watch(), parts.Table.WatchConfirmed())...),
 		board.NewRunner(parts.Reports, time.Second, parts.Reports.Sources()...),
+		board.NewRunner(parts.Tracker, outcomesInterval),
 		board.NewRunner(parts.Relay, renewalsInterval),
 		board.NewRunner(parts.Suspects, suspectsInterval, parts.Suspects.Sources()...),
 	}
--- a/internal/direct/directory/apply.go
+++ b/internal/direct/directory/apply.go
@@ -118,6 +118,7 @@
 // admit gives a new incarnation its token.
 func (directory *Directory) admit(stated Target) Result {
 	added := stated
+	added.Aside = false
 	added.Token = directory.nextToken
 	directory.nextToken++
 	directory.targets.add(&added)
@@ -170,6 +171,8 @@
 			directory.fail(target)
 		}
 	}
+	directory.setAside(change.Aside, true)
+	directory.setAside(change.Back, false)
 	for _, id := range change.Recovered {
 		target, known := directory.targets.byID[id]
 		if known && target.State == TargetFailed && directory.successor(target) == nil {
@@ -179,6 +182,16 @@
 	}
 }
 
+// setAside records whether targets get new flows.
+func (directory *Directory) setAside(ids []TargetID, aside bool) {
+	for _, id := range ids {
+		if target, known := directory.targets.byID[id]; known && target.Aside != aside {
+			target.Aside = aside
+			directory.touch(target)
+		}
+	}
+}
+
 // successor returns the later incarnation that has the target's address and
 // did not fail, or nil.
 func (directory *Directory) successor(target *Target) *Target {
--- a/internal/direct/directory/changes.go
+++ b/internal/direct/directory/changes.go
@@ -25,7 +25,9 @@
 	// Capacity is the number of requests that the target works on at once.
 	Capacity int
 	State    TargetState
-	Cold     time.Duration
+	// Aside tells that the target gets no new flows while others can.
+	Aside bool
+	Cold  time.Duration
 }
 
 // Changes is what changed between two revisions. With Whole, it is everything
@@ -80,6 +82,7 @@
 		Zone:     target.Zone,
 		Capacity: target.Capacity,
 		State:    target.State,
+		Aside:    target.Aside,
 		Cold:     target.Cold,
 	}
 }
--- a/internal/direct/directory/command.go
+++ b/internal/direct/directory/command.go
@@ -30,10 +30,15 @@
 	ID TargetID
 }
 
-// HealthChange records that targets were found dead, or alive again.
+// HealthChange records that targets were found dead, or alive again, or leave
+// requests unanswered.
 type HealthChange struct {
 	Failed    []TargetID
 	Recovered []TargetID
+	// Aside are targets that get no new flows for now, Back those that do
+	// again.
+	Aside []TargetID
+	Back  []TargetID
 }
 
 // Forgetting takes targets out whose last flows are past their longest life.
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -66,6 +66,9 @@
 	State    TargetState
 	// Before is the state that a failed target returns to when it answers.
 	Before TargetState
+	// Aside tells that the target gets no new flows for now, because it leaves
+	// requests unanswered.
+	Aside bool
 	// Cold is how long the target stays slow after its registration.
 	Cold time.Duration
 	// Sequence is the number of the latest call that changed the target.
--- a/internal/direct/feed/feed.go
+++ b/internal/direct/feed/feed.go
@@ -109,9 +109,26 @@
 	Balancer model.NodeName
 }
 
+// OutcomeCount has the requests that a balancer sent to a target, by whether
+// they were answered.
+type OutcomeCount struct {
+	ID         directory.TargetID
+	Answered   uint32
+	Unanswered uint32
+}
+
+// OutcomeReport tells the node that a balancer follows how requests ended lately.
+// It goes the way of a HealthReport.
+type OutcomeReport struct {
+	// Hops is the number of balancers that passed the report on.
+	Hops   uint8
+	Counts []OutcomeCount
+}
+
 func init() {
 	protocol.RegisterAs("ds", Subscribe{})
 	protocol.RegisterAs("du", Update{})
 	protocol.RegisterAs("dh", HealthReport{})
+	protocol.RegisterAs("do", OutcomeReport{})
 	protocol.RegisterAs("df", Followers{})
 }
--- a/internal/direct/feed/reports.go
+++ b/internal/direct/feed/reports.go
@@ -15,15 +15,21 @@
 // Reports is the controller that passes on what other balancers found out
 // about targets, to the node that this one follows.
 type Reports struct {
-	mailbox *protocol.Mailbox
-	reports *board.Queue[protocol.Envelope]
-	follows func() model.NodeName
+	mailbox  *protocol.Mailbox
+	health   *board.Queue[protocol.Envelope]
+	outcomes *board.Queue[protocol.Envelope]
+	follows  func() model.NodeName
 }
 
 // NewReports returns the controller. follows returns the node that gets the
 // reports.
 func NewReports(mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, follows func() model.NodeName) *Reports {
-	return &Reports{mailbox: mailbox, reports: dispatcher.Handle(HealthReport{}), follows: follows}
+	return &Reports{
+		mailbox:  mailbox,
+		health:   dispatcher.Handle(HealthReport{}),
+		outcomes: dispatcher.Handle(OutcomeReport{}),
+		follows:  follows,
+	}
 }
 
 // Name implements board.Controller.
@@ -31,18 +37,29 @@
 
 // Sources returns the channels whose notices call for a Reconcile.
 func (reports *Reports) Sources() []<-chan struct{} {
-	return []<-chan struct{}{reports.reports.Watch()}
+	return []<-chan struct{}{reports.health.Watch(), reports.outcomes.Watch()}
 }
 
 // Reconcile implements board.Controller.
 func (reports *Reports) Reconcile(time.Time) {
-	for _, envelope := range reports.reports.Drain() {
+	for _, envelope := range reports.health.Drain() {
 		report, _ := envelope.Message.(HealthReport)
-		node := reports.follows()
-		if node == "" || node == envelope.From || report.Hops >= maximumHops {
-			continue
+		if node, passes := reports.next(envelope.From, report.Hops); passes {
+			report.Hops++
+			reports.mailbox.Send(node, report)
+		}
+	}
+	for _, envelope := range reports.outcomes.Drain() {
+		report, _ := envelope.Message.(OutcomeReport)
+		if node, passes := reports.next(envelope.From, report.Hops); passes {
+			report.Hops++
+			reports.mailbox.Send(node, report)
 		}
-		report.Hops++
-		reports.mailbox.Send(node, report)
 	}
 }
+
+// next returns the node that gets a report, unless it goes no further.
+func (reports *Reports) next(from model.NodeName, hops uint8) (model.NodeName, bool) {
+	node := reports.follows()
+	return node, node != "" && node != from && hops < maximumHops
+}
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"time"
 
+	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/egress"
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/faults"
@@ -46,6 +47,13 @@
 	Malformed(err error)
 }
 
+// Outcomes is told of the packets of open flows that were sent on; its method
+// must return at once.
+type Outcomes interface {
+	// Note takes in a packet that was sent on to the target of its flow.
+	Note(segment steer.Segment, target directory.TargetID, now time.Time)
+}
+
 // Forwarder is the packet path of one balancer.
 type Forwarder struct {
 	socket   *net.UDPConn
@@ -53,6 +61,7 @@
 	table    *steer.Table
 	suspects *Suspects
 	observer Observer
+	outcomes Outcomes
 	parking  *parking
 	egress   *egress.Egress
 }
@@ -67,7 +76,7 @@
 }
 
 // New opens the socket.
-func New(options Options, codec Codec, table *steer.Table, suspects *Suspects, observer Observer) (*Forwarder, error) {
+func New(options Options, codec Codec, table *steer.Table, suspects *Suspects, outcomes Outcomes, observer Observer) (*Forwarder, error) {
 	parsed, err := netip.ParseAddrPort(options.Address)
 	if err != nil {
 		return nil, faults.New(faults.PacketSocket, "direct.packets: %v", err)
@@ -79,7 +88,7 @@
 	// A smaller buffer than asked for loses packets earlier; nothing else.
 	_ = socket.SetReadBuffer(socketBufferBytes)
 	_ = socket.SetWriteBuffer(socketBufferBytes)
-	forwarder := &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, observer: observer, parking: newParking()}
+	forwarder := &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, outcomes: outcomes, observer: observer, parking: newParking()}
 	forwarder.egress = egress.New(options.LinkRate, forwarder.write)
 	return forwarder, nil
 }
@@ -144,6 +153,9 @@
 	}
 	switch decision.Action {
 	case steer.Forward:
+		if decision.Reason == steer.ReasonOwner {
+			forwarder.outcomes.Note(segment, decision.ID, now)
+		}
 		forwarder.send(segment, forwarder.codec.Deliver(buffer, decision), decision.Target, now)
 	case steer.Reset:
 		reset, to := forwarder.codec.Reset(packet, segment)
--- a/internal/direct/forwarder/forwarder_test.go
+++ b/internal/direct/forwarder/forwarder_test.go
@@ -82,6 +82,7 @@
 	lock      sync.Mutex
 	reasons   map[steer.Reason]int
 	malformed int
+	noted     int
 }
 
 // Decided implements Observer.
@@ -91,6 +92,13 @@
 	counter.reasons[decision.Reason]++
 }
 
+// Note implements Outcomes.
+func (counter *counter) Note(steer.Segment, directory.TargetID, time.Time) {
+	counter.lock.Lock()
+	defer counter.lock.Unlock()
+	counter.noted++
+}
+
 // Malformed implements Observer.
 func (counter *counter) Malformed(error) {
 	counter.lock.Lock()
@@ -134,7 +142,7 @@
 	mailbox := protocol.NewMailbox("balancer")
 	suspects := NewSuspects(made.table, probe.New(probe.DialTCP), mailbox, func() model.NodeName { return "" }, zap.NewNop())
 	var err error
-	made.forwarder, err = New(Options{Address: "127.0.0.1:0"}, codec{}, made.table, suspects, made.counter)
+	made.forwarder, err = New(Options{Address: "127.0.0.1:0"}, codec{}, made.table, suspects, made.counter, made.counter)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -280,7 +288,7 @@
 
 func TestAddressInUseIsToldByField(t *testing.T) {
 	taken := socket(t)
-	_, err := New(Options{Address: taken.LocalAddr().String()}, codec{}, steer.NewTable(steer.DefaultOptions()), nil, nil)
+	_, err := New(Options{Address: taken.LocalAddr().String()}, codec{}, steer.NewTable(steer.DefaultOptions()), nil, nil, nil)
 	require.Equal(t, faults.PacketSocket, faults.CodeOf(err))
 	require.ErrorContains(t, err, "direct.packets")
 }
--- /dev/null
+++ b/internal/direct/outcome/judge.go
@@ -0,0 +1,242 @@
+package outcome
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/feed"
+)
+
+const (
+	// windowSteps times stepLength is how far back outcomes count.
+	windowSteps = 6
+	stepLength  = 500 * time.Millisecond
+	// leastUnanswered is the number of unanswered requests in the window below
+	// which no target is set aside.
+	leastUnanswered = 4
+	// leastShare is the share of unanswered requests below which no target is
+	// set aside, and timesWorse how much worse than the middle one of its
+	// service a target must be: when most are bad, the cause is elsewhere.
+	leastShare = 0.1
+	timesWorse = 5
+	// mostShare is the largest share of a service's targets that are set aside
+	// at a time; one may be when there are smallPool or more.
+	mostShare = 0.2
+	smallPool = 3
+	// firstAside is how long a target is set aside at first. Each further time
+	// doubles it up to longestAside; calmAfter without one forgets it.
+	firstAside   = 3 * time.Second
+	longestAside = 30 * time.Second
+	calmAfter    = time.Minute
+)
+
+// counts are requests by their outcome.
+type counts struct {
+	answered, unanswered float64
+}
+
+func (sum *counts) add(other counts) {
+	sum.answered += other.answered
+	sum.unanswered += other.unanswered
+}
+
+func (sum *counts) share() float64 {
+	if total := sum.answered + sum.unanswered; total > 0 {
+		return sum.unanswered / total
+	}
+	return 0
+}
+
+// record is what the judge remembers of a target.
+type record struct {
+	steps [windowSteps]counts
+	// step is the number of the step that the latest counts belong to.
+	step int64
+	// until is when a target that is set aside returns; aside is how long it is
+	// set aside this time.
+	until time.Time
+	aside time.Duration
+	// calmFrom is when the last time aside ended.
+	calmFrom time.Time
+}
+
+// Judge decides which targets are set aside. It is pure: it has no clock, and
+// its decisions are the caller's to carry out. It is for one goroutine.
+type Judge struct {
+	records map[directory.TargetID]*record
+}
+
+// NewJudge returns a judge that knows nothing yet.
+func NewJudge() *Judge { return &Judge{records: make(map[directory.TargetID]*record)} }
+
+func stepOf(now time.Time) int64 { return now.UnixNano() / int64(stepLength) }
+
+func (judge *Judge) record(id directory.TargetID) *record {
+	known := judge.records[id]
+	if known == nil {
+		known = &record{}
+		judge.records[id] = known
+	}
+	return known
+}
+
+// forward drops the steps that are too old.
+func (known *record) forward(now time.Time) {
+	step := stepOf(now)
+	for passed := min(step-known.step, windowSteps); passed > 0; passed-- {
+		known.steps[(step-passed+1)%windowSteps] = counts{}
+	}
+	known.step = step
+}
+
+func (known *record) sum(now time.Time) counts {
+	known.forward(now)
+	var total counts
+	for _, step := range known.steps {
+		total.add(step)
+	}
+	return total
+}
+
+// Take takes a balancer's counts in.
+func (judge *Judge) Take(report feed.OutcomeReport, now time.Time) {
+	for _, counted := range report.Counts {
+		known := judge.record(counted.ID)
+		known.forward(now)
+		known.steps[known.step%windowSteps].add(counts{answered: float64(counted.Answered), unanswered: float64(counted.Unanswered)})
+	}
+}
+
+// Verdict is what the judge decided.
+type Verdict struct {
+	// Aside are targets that get no new flows from now on, Back those that do
+	// again.
+	Aside, Back []directory.TargetID
+}
+
+// Decide returns what is to change among the targets.
+func (judge *Judge) Decide(targets []directory.Target, now time.Time) Verdict {
+	var verdict Verdict
+	services := make(map[string][]*directory.Target)
+	for index := range targets {
+		target := &targets[index]
+		if target.State == directory.TargetReady {
+			services[target.Service] = append(services[target.Service], target)
+		} else if target.Aside {
+			verdict.Back = append(verdict.Back, target.ID)
+		}
+	}
+	for _, members := range services {
+		judge.decideService(members, now, &verdict)
+	}
+	slices.Sort(verdict.Aside)
+	slices.Sort(verdict.Back)
+	judge.forget(targets)
+	return verdict
+}
+
+func (judge *Judge) decideService(targets []*directory.Target, now time.Time, verdict *Verdict) {
+	aside := 0
+	for _, target := range targets {
+		if target.Aside {
+			aside++
+			judge.decideReturn(target.ID, now, verdict)
+		}
+	}
+	suspects := judge.worse(targets, now)
+	room := roomFor(len(targets)) - aside
+	for _, id := range suspects[:min(max(room, 0), len(suspects))] {
+		judge.record(id).setAside(now)
+		verdict.Aside = append(verdict.Aside, id)
+	}
+}
+
+// roomFor returns how many of a number of targets may be set aside.
+func roomFor(targets int) int {
+	if targets < smallPool {
+		return 0
+	}
+	return max(1, int(mostShare*float64(targets)))
+}
+
+// decideReturn brings a target back after its time. One that another leader set
+// aside gets the first time from now on.
+func (judge *Judge) decideReturn(id directory.TargetID, now time.Time, verdict *Verdict) {
+	known := judge.record(id)
+	switch {
+	case known.until.IsZero():
+		known.setAside(now)
+	case !now.Before(known.until):
+		known.until = time.Time{}
+		known.calmFrom = now
+		known.steps = [windowSteps]counts{}
+		verdict.Back = append(verdict.Back, id)
+	}
+}
+
+func (known *record) setAside(now time.Time) {
+	known.aside *= 2
+	if known.aside == 0 || now.Sub(known.calmFrom) > calmAfter {
+		known.aside = firstAside
+	}
+	known.aside = min(known.aside, longestAside)
+	known.until = now.Add(known.aside)
+}
+
+// suspect is a target with its share of unanswered requests.
+type suspect struct {
+	id    directory.TargetID
+	share float64
+}
+
+// worse returns the targets that are far worse than the middle one, the worst
+// first.
+func (judge *Judge) worse(targets []*directory.Target, now time.Time) []directory.TargetID {
+	var shares []float64
+	var suspects []suspect
+	for _, target := range targets {
+		if target.Aside {
+			continue
+		}
+		own := judge.record(target.ID).sum(now)
+		shares = append(shares, own.share())
+		if own.unanswered >= leastUnanswered && own.share() >= leastShare {
+			suspects = append(suspects, suspect{id: target.ID, share: own.share()})
+		}
+	}
+	if len(suspects) == 0 {
+		return nil
+	}
+	slices.Sort(shares)
+	middle := shares[len(shares)/2]
+	suspects = slices.DeleteFunc(suspects, func(one suspect) bool { return one.share < timesWorse*middle })
+	slices.SortFunc(suspects, func(left, right suspect) int {
+		return cmp.Or(cmp.Compare(right.share, left.share), cmp.Compare(left.id, right.id))
+	})
+	ids := make([]directory.TargetID, 0, len(suspects))
+	for _, one := range suspects {
+		ids = append(ids, one.id)
+	}
+	return ids
+}
+
+// recordsSlack is how many records of forgotten targets are left alone.
+const recordsSlack = 64
+
+// forget drops the records of targets that are gone.
+func (judge *Judge) forget(targets []directory.Target) {
+	if len(judge.records) <= 2*len(targets)+recordsSlack {
+		return
+	}
+	present := make(map[directory.TargetID]bool, len(targets))
+	for index := range targets {
+		present[targets[index].ID] = true
+	}
+	for id := range judge.records {
+		if !present[id] {
+			delete(judge.records, id)
+		}
+	}
+}
--- a/internal/direct/registrar/health.go
+++ b/internal/direct/registrar/health.go
@@ -8,6 +8,7 @@
 	"merlinpaddle/internal/board"
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
+	"merlinpaddle/internal/direct/outcome"
 	"merlinpaddle/internal/direct/probe"
 	"merlinpaddle/internal/protocol"
 )
@@ -37,6 +38,8 @@
 	renewed   *Renewed
 	renewals  *board.Queue[protocol.Envelope]
 	reports   *board.Queue[protocol.Envelope]
+	outcomes  *board.Queue[protocol.Envelope]
+	judge     *outcome.Judge
 	prober    *probe.Prober
 	logger    *zap.Logger
 
@@ -46,9 +49,10 @@
 	// now is the time of the present Reconcile.
 	now time.Time
 	// since is when this member began to lead.
-	since  time.Time
-	term   uint64
-	toldAt time.Time
+	since    time.Time
+	term     uint64
+	toldAt   time.Time
+	judgedAt time.Time
 }
 
 // NewHealth returns the failure detector of one member.
@@ -62,6 +66,8 @@
 		renewed:   renewed,
 		renewals:  dispatcher.Handle(Renewals{}),
 		reports:   dispatcher.Handle(feed.HealthReport{}),
+		outcomes:  dispatcher.Handle(feed.OutcomeReport{}),
+		judge:     outcome.NewJudge(),
 		prober:    prober,
 		logger:    logger,
 		observed:  newObserved(),
@@ -96,9 +102,11 @@
 		health.since = now
 		health.term = status.Term
 		health.observed = newObserved()
+		health.judge = outcome.NewJudge()
 	}
 	health.note(now, renewals)
 	health.takeReports(now)
 	health.takeResults(now)
 	health.inspect(now)
+	health.judgeOutcomes(now)
 }
--- a/internal/direct/registrar/health_renewals.go
+++ b/internal/direct/registrar/health_renewals.go
@@ -50,13 +50,14 @@
 // passOn sends the leader what this member heard.
 func (health *Health) passOn(leader model.NodeName, renewals []Renewal) {
 	reports := health.reports.Drain()
+	outcomes := health.outcomes.Drain()
 	if leader == "" || leader == health.mailbox.Self {
 		return
 	}
 	if len(renewals) > 0 {
 		health.mailbox.Send(leader, Renewals{Targets: renewals})
 	}
-	for _, envelope := range reports {
+	for _, envelope := range append(reports, outcomes...) {
 		health.mailbox.Send(leader, envelope.Message)
 	}
 }
--- a/internal/direct/registrar/proposer.go
+++ b/internal/direct/registrar/proposer.go
@@ -45,8 +45,8 @@
 	awaited model.Revision
 }
 
-// outcome is the end of one try.
-type outcome struct {
+// attemptEnd is the end of one try.
+type attemptEnd struct {
 	attempt uint64
 	reply   Reply
 	err     error
@@ -61,7 +61,7 @@
 	reads     *board.Queue[protocol.Envelope]
 	replies   *board.Queue[protocol.Envelope]
 	calls     *board.Queue[*call]
-	outcomes  *board.Queue[outcome]
+	outcomes  *board.Queue[attemptEnd]
 	group     Group
 	directory *directory.Directory
 
@@ -98,7 +98,7 @@
 		reads:     dispatcher.Handle(ReadRequest{}),
 		replies:   dispatcher.Handle(Reply{}),
 		calls:     board.NewQueue[*call]("direct calls", callsKept),
-		outcomes:  board.NewQueue[outcome]("direct outcomes", 2*callsKept),
+		outcomes:  board.NewQueue[attemptEnd]("direct outcomes", 2*callsKept),
 		group:     group,
 		directory: directory,
 		last:      seed,
@@ -157,7 +157,7 @@
 	}
 	for _, envelope := range proposer.replies.Drain() {
 		reply, _ := envelope.Message.(Reply)
-		ended := outcome{attempt: reply.Correlation, reply: reply}
+		ended := attemptEnd{attempt: reply.Correlation, reply: reply}
 		if reply.Code != 0 {
 			ended.err = faults.New(reply.Code, "%s", reply.Text)
 		}
@@ -205,25 +205,25 @@
 	leader := proposer.group.StatusAt(now).Leader
 	switch {
 	case leader == "":
-		proposer.settle(now, outcome{attempt: attempt, err: faults.New(faults.QuorumUnconfirmed, "this member knows no leader")})
+		proposer.settle(now, attemptEnd{attempt: attempt, err: faults.New(faults.QuorumUnconfirmed, "this member knows no leader")})
 	case leader != proposer.mailbox.Self && begun.command != nil:
 		proposer.mailbox.Send(leader, ProposeRequest{Correlation: attempt, Command: begun.command})
 	case leader != proposer.mailbox.Self:
 		proposer.mailbox.Send(leader, ReadRequest{Correlation: attempt})
 	case begun.command != nil:
 		proposer.group.Submit(begun.command, func(result []byte, err error) {
-			proposer.outcomes.Put(outcome{attempt: attempt, reply: Reply{Result: result}, err: err})
+			proposer.outcomes.Put(attemptEnd{attempt: attempt, reply: Reply{Result: result}, err: err})
 		})
 	default:
 		proposer.group.ReadBarrier(func(err error) {
-			proposer.outcomes.Put(outcome{attempt: attempt, err: err})
+			proposer.outcomes.Put(attemptEnd{attempt: attempt, err: err})
 		})
 	}
 }
 
 // settle ends an attempt: the call ends, or waits to be tried again, or waits
 // for this member's state.
-func (proposer *Proposer) settle(now time.Time, ended outcome) {
+func (proposer *Proposer) settle(now time.Time, ended attemptEnd) {
 	waiting, exists := proposer.pending[ended.attempt]
 	switch {
 	case !exists || !waiting.retryAt.IsZero():
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -135,7 +135,7 @@
 	var scores [choicesKept]float64
 	count := 0
 	for _, target := range targets {
-		if !all && (now.Before(target.usableAt) || now.Before(target.avoidUntil)) {
+		if !all && (target.Aside || now.Before(target.usableAt) || now.Before(target.avoidUntil)) {
 			continue
 		}
 		score := table.score(target, hash, now)
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -30,6 +30,10 @@
 	// Abort tells that the packet itself ends its flow at once; it is never
 	// answered.
 	Abort bool
+	// Closing tells that the caller ends the flow after this packet.
+	Closing bool
+	// Acknowledgement is the number of the next byte that the caller awaits.
+	Acknowledgement uint32
 	// Sequence is the number of the first byte of data, and HasData tells
 	// whether there is any. A sender repeats data under the same number.
 	Sequence uint32
--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -9,6 +9,7 @@
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/forwarder"
+	"merlinpaddle/internal/direct/outcome"
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/protocol"
@@ -28,6 +29,7 @@
 	process    *kernel.Process
 	table      *steer.Table
 	suspects   *forwarder.Suspects
+	tracker    *outcome.Tracker
 	subscriber *feed.Subscriber
 	// startedAt is when the present life began.
 	startedAt time.Time
@@ -71,15 +73,17 @@
 	publisher := feed.NewPublisher(feed.PublisherOptions{Limit: peerFollowers}, mailbox, dispatcher, replica, replica)
 	reports := feed.NewReports(mailbox, dispatcher, subscriber.Following)
 	balancer.subscriber = subscriber
+	balancer.tracker = outcome.NewTracker(mailbox, subscriber.Following)
 	balancer.suspects = forwarder.NewSuspects(balancer.table, balancer.world.prober(balancer.process), mailbox, subscriber.Following, zap.NewNop())
 	return kernel.Program{
 		Mailbox:     mailbox,
-		Controllers: []board.Controller{dispatcher, subscriber, publisher, reports, balancer.suspects},
+		Controllers: []board.Controller{dispatcher, subscriber, publisher, reports, balancer.suspects, balancer.tracker},
 	}
 }
 
-// route returns a balancer for one packet: any active one that has a table.
-func (world *World) route() *balancer {
+// route returns a balancer for one packet of a flow: any active one that has a
+// table.
+func (world *World) route(flow *flow) *balancer {
 	var active []*balancer
 	for _, candidate := range world.balancers {
 		if candidate.process.Active() && candidate.table.Serving() {
@@ -89,6 +93,9 @@
 	if len(active) == 0 {
 		return nil
 	}
+	if world.options.Affine {
+		return active[int(flow.caller.Port())%len(active)]
+	}
 	return kernel.Pick(world.random, active)
 }
 
@@ -107,6 +114,9 @@
 	}
 	switch decision.Action {
 	case steer.Forward:
+		if decision.Reason == steer.ReasonOwner {
+			balancer.tracker.Note(packet.segment(), decision.ID, now)
+		}
 		world.deliver(balancer, packet, decision)
 	case steer.Reset:
 		world.packets.Send(balancer.process.Endpoint, packet.flow.endpoint(), func() {
--- a/internal/sim/directworld/caller.go
+++ b/internal/sim/directworld/caller.go
@@ -31,8 +31,16 @@
 	opening bool
 	attempt int
 	token   directory.Token
+	// asked and answered number the requests of an open flow that were sent and
+	// answered when the packet was sent; closing tells that it is the last.
+	asked    int
+	answered int
+	closing  bool
 }
 
+// requestBytes is the length of one simulated request, and of one answer.
+const requestBytes = 100
+
 func (packet packet) segment() steer.Segment {
 	return steer.Segment{
 		Caller:  packet.flow.caller,
@@ -40,6 +48,11 @@
 		Token:   packet.token,
 		Opening: packet.opening,
 		Attempt: packet.attempt,
+
+		HasData:         packet.asked > 0 && !packet.closing,
+		Sequence:        uint32(packet.asked * requestBytes),
+		Acknowledgement: uint32(packet.answered * requestBytes),
+		Closing:         packet.closing,
 	}
 }
 
@@ -58,6 +71,9 @@
 	ended      bool
 	openedAt   time.Time
 	answeredAt time.Time
+	// asked and answered count the requests that were sent and answered.
+	asked    int
+	answered int
 }
 
 func (flow *flow) endpoint() kernel.Endpoint { return endpoint(flow.caller.String(), flow.zone) }
@@ -124,7 +140,7 @@
 }
 
 func (flow *flow) send(packet packet) {
-	through := flow.world.route()
+	through := flow.world.route(flow)
 	if through == nil {
 		return
 	}
@@ -148,10 +164,14 @@
 		return
 	}
 	if flow.world.Now().After(flow.endsAt) {
+		flow.send(packet{flow: flow, token: flow.token, asked: flow.asked, answered: flow.answered, closing: true})
 		flow.end()
 		return
 	}
-	flow.send(packet{flow: flow, token: flow.token})
+	if flow.answered == flow.asked {
+		flow.asked++
+	}
+	flow.send(packet{flow: flow, token: flow.token, asked: flow.asked, answered: flow.answered})
 	flow.world.after(dataInterval, flow.data)
 }
 
--- a/internal/sim/directworld/checks.go
+++ b/internal/sim/directworld/checks.go
@@ -190,6 +190,20 @@
 	}
 }
 
+// becomesAside lets time pass until the leader has set a target aside, or
+// brought it back, which must happen within a bound.
+func (checks *checks) becomesAside(target *target, aside bool, within time.Duration) {
+	world := checks.world
+	for end := world.Now().Add(within); world.Now().Before(end); world.RunFor(100 * time.Millisecond) {
+		if leader := world.leader(); leader != nil {
+			if held, known := leader.Directory.Target(target.id); known && held.Aside == aside {
+				return
+			}
+		}
+	}
+	checks.violate(checker.InvariantProgress, "target %s does not become aside=%t within %s", target.address, aside, within)
+}
+
 // opened judges a target that takes a new flow.
 func (checks *checks) opened(through *balancer, target *target, packet packet) {
 	world := checks.world
@@ -276,5 +290,8 @@
 		if target.alive && target.state == directory.TargetReady && (!known || held.State != directory.TargetReady) {
 			checks.violate(checker.InvariantProgress, "the living target %s ends as %s", target.address, held.State)
 		}
+		if held.Aside && target.alive && target.state == directory.TargetReady {
+			checks.violate(checker.InvariantProgress, "the target %s, which answers all, ends set aside", target.address)
+		}
 	}
 }
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -72,6 +72,12 @@
 		},
 		play: relayedFeed,
 	},
+	{
+		name:    "direct-grey-targets",
+		summary: "a target takes requests and leaves many unanswered, while its health is good; the leader changes meanwhile",
+		change:  func(options *Options) { options.Affine = true },
+		play:    greyTargets,
+	},
 	{
 		name:    "direct-leader-loss",
 		summary: "the leader is killed, loses power or stands still again and again under racing operators",
@@ -277,6 +283,32 @@
 	}
 }
 
+const (
+	// noticedWithin is how long a grey target may get new flows.
+	noticedWithin = 6 * time.Second
+	// returnsWithin is how long after its end a grey target may stay aside.
+	returnsWithin = 35 * time.Second
+)
+
+func greyTargets(world *World) {
+	for round := range 2 {
+		chosen := world.livingTargets(1)[0]
+		world.disturb("grey", chosen.address.String())
+		chosen.grey = 0.7
+		world.checks.becomesAside(chosen, true, noticedWithin)
+		if leader := world.leader(); leader != nil && round == 1 {
+			leader.Kill()
+			world.RunFor(time.Second)
+			leader.Start()
+		}
+		world.RunFor(3 * time.Second)
+		chosen.grey = 0
+		clear(chosen.hung)
+		world.checks.becomesAside(chosen, false, returnsWithin)
+		world.RunFor(5 * time.Second)
+	}
+}
+
 func leaderLoss(world *World) {
 	for range 5 {
 		leader := world.leader()
--- a/internal/sim/directworld/target.go
+++ b/internal/sim/directworld/target.go
@@ -32,6 +32,10 @@
 	// leavingAckedAt is when draining or leaving was acknowledged.
 	leavingAckedAt time.Time
 	diedAt         time.Time
+	// grey is the share of requests that the target takes and never answers,
+	// and hung has the flows with such a request.
+	grey float64
+	hung map[*flow]int
 }
 
 // AddTarget starts a target of service at an address of its own.
@@ -52,6 +56,7 @@
 		state:   directory.TargetReady,
 		alive:   true,
 		flows:   make(map[*flow]bool),
+		hung:    make(map[*flow]int),
 		member:  world.random.Below(len(world.members)),
 	}
 	world.targets = append(world.targets, added)
@@ -192,6 +197,18 @@
 	})
 }
 
+// hangs tells whether the target takes a request and never answers it.
+func (target *target) hangs(flow *flow, asked int) bool {
+	if target.hung[flow] == asked {
+		return true
+	}
+	if flow.answered >= asked || !target.world.random.Chance(target.grey) {
+		return false
+	}
+	target.hung[flow] = asked
+	return true
+}
+
 // Die ends the target at once. A silent one's machine is gone too.
 func (target *target) Die(silent bool) {
 	if !target.alive {
@@ -252,8 +269,15 @@
 		world.checks.foreignPacket(target, packet)
 		return
 	}
-	if !flow.lost {
-		target.flows[flow] = true
-		world.packets.Send(target.endpoint(), flow.endpoint(), func() { flow.answeredAt = world.Now() })
+	if flow.lost || packet.closing {
+		return
+	}
+	target.flows[flow] = true
+	if target.hangs(flow, packet.asked) {
+		return
 	}
+	world.packets.Send(target.endpoint(), flow.endpoint(), func() {
+		flow.answeredAt = world.Now()
+		flow.answered = max(flow.answered, packet.asked)
+	})
 }
--- a/internal/sim/directworld/world.go
+++ b/internal/sim/directworld/world.go
@@ -58,6 +58,9 @@
 	// Followers bounds the balancers that a member feeds.
 	Followers int
 	Faults    kernel.LinkFaults
+	// Affine makes the routers send all packets of a flow to one balancer, as
+	// long as it is there; otherwise each packet goes to any.
+	Affine bool
 	// Skewed gives every process a clock of its own.
 	Skewed bool
 	Parts  Parts
