--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -66,7 +66,7 @@
 		fx.Options(parts...),
 	)
 	logger.Info("process starts", zap.String("settings", file.Path))
-	err = runApplication(app, dumper)
+	err = runApplication(app, dumper, logger)
 	logger.Info("process ends", zap.Error(err))
 	return err
 }
@@ -109,7 +109,7 @@
 	return wiring
 }
 
-func runApplication(app *fx.App, dumper *logring.Dumper) error {
+func runApplication(app *fx.App, dumper *logring.Dumper, logger *zap.Logger) error {
 	startContext, cancelStart := context.WithTimeout(context.Background(), startTimeout)
 	defer cancelStart()
 	if err := app.Start(startContext); err != nil {
@@ -117,6 +117,7 @@
 		return rootFault(err)
 	}
 	stopSignal := <-app.Wait()
+	logger.Info("process stops", zap.String("signal", fmt.Sprint(stopSignal.Signal)), zap.Int("code", stopSignal.ExitCode))
 	stopContext, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancelStop()
 	if err := app.Stop(stopContext); err != nil {
