--- a/internal/direct/admin/server.go
+++ b/internal/direct/admin/server.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/go-chi/chi/v5"
 	"go.uber.org/fx"
@@ -26,11 +23,8 @@
 	pathTargets       = "/direct/targets"
 )
 
-const (
-	// maximumDocument bounds a document, in bytes.
-	maximumDocument = 16 << 20
-	headerTimeout   = 2 * time.Second
-)
+// maximumDocument bounds a document, in bytes.
+const maximumDocument = 16 << 20
 
 // Declarations takes and returns the declared configuration; registrar.Calls
 // implements it.
@@ -144,21 +138,7 @@
 	if chosen.Direct.Admin == "" {
 		return
 	}
-	server := &http.Server{Handler: Handler(calls, state, logger.Named("admin")), ReadHeaderTimeout: headerTimeout}
-	lifecycle.Append(fx.StartStopHook(
-		func() error {
-			listener, err := net.Listen("tcp", chosen.Direct.Admin)
-			if err != nil {
-				return faults.New(faults.CodeAddressInUse, "direct.admin: listen on %s: %v", chosen.Direct.Admin, err)
-			}
-			tasks.Go("admin", func(context.Context) error {
-				if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-					return err
-				}
-				return nil
-			})
-			return nil
-		},
-		func(ctx context.Context) { process.StopServer(ctx, server) },
-	))
+	process.Serve(lifecycle, tasks, process.Endpoint{
+		Name: "admin", Field: "direct.admin", Address: chosen.Direct.Admin, Handler: Handler(calls, state, logger.Named("admin")),
+	})
 }
