Explain flows that waited for a balancer's start; suspect nobody by late copies

Copies of opening packets that came to a balancer just after its start made it suspect and probe targets that nobody had asked, and explain said the same; a table that was never confirmed was "2562047h" old.

A balancer whose first table is younger than the span of copies (1.4 s) suspects nobody by them. explain tells of waits for a first table and of copies that no balancer took. An age that does not exist is called "never".

--- a/internal/direct/balancernode/metrics.go
+++ b/internal/direct/balancernode/metrics.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// observeAge counts the age of a table at a decision; one that no quorum
+// confirmed yet has none.
+func (metrics *metrics) observeAge(age time.Duration) {
+	if age != steer.NeverConfirmed {
+		metrics.tableAge.Observe(age.Seconds())
+	}
+}
+
 // Describe implements prometheus.Collector.
 func (metrics *metrics) Describe(descriptions chan<- *prometheus.Desc) {
 	descriptions <- metrics.packets
--- a/internal/direct/balancernode/observer.go
+++ b/internal/direct/balancernode/observer.go
@@ -1,6 +1,8 @@
 package balancernode
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"merlinpaddle/internal/direct/forwarder"
@@ -29,7 +31,7 @@
 		return
 	}
 	if decision.Reason == steer.ReasonChosen {
-		observer.metrics.tableAge.Observe(decision.ConfirmedAgo.Seconds())
+		observer.metrics.observeAge(decision.ConfirmedAgo)
 	}
 	message := "packet dropped"
 	switch decision.Action {
@@ -53,7 +55,7 @@
 		zap.Uint32("suspect", uint32(decision.Suspect)),
 		zap.Uint64("revision", uint64(decision.Revision)),
 		zap.Uint64("version", decision.Version),
-		zap.Duration("confirmed_ago", decision.ConfirmedAgo),
+		zap.String("confirmed_ago", ageText(decision.ConfirmedAgo)),
 	)
 }
 
@@ -62,3 +64,11 @@
 	observer.metrics.malformed.Add(1)
 	observer.logger.Info("packet malformed", zap.Error(err))
 }
+
+// ageText returns the age of a table in words.
+func ageText(age time.Duration) string {
+	if age == steer.NeverConfirmed {
+		return "never"
+	}
+	return age.String()
+}
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -15,6 +15,11 @@
 // packet may reach.
 const choicesKept = 3
 
+// copiesSpan is the time within which callers send copies of an opening packet.
+// A balancer whose first table is younger placed none of the former copies, so
+// that a further one says nothing about a target.
+const copiesSpan = 1400 * time.Millisecond
+
 // coldWeight is the weight of a target that is still slow from its start,
 // relative to a warm one.
 const coldWeight = 0.5
@@ -27,11 +32,18 @@
 	if decision.Reason != ReasonOwner {
 		decision.Revision = table.revision
 		decision.Version = table.version
-		decision.ConfirmedAgo = now.Sub(table.confirmedAt)
+		decision.ConfirmedAgo = table.confirmedAgo(now)
 	}
 	return decision
 }
 
+func (table *Table) confirmedAgo(now time.Time) time.Duration {
+	if table.confirmedAt.IsZero() {
+		return NeverConfirmed
+	}
+	return now.Sub(table.confirmedAt)
+}
+
 func (table *Table) decide(segment Segment, now time.Time) Decision {
 	if table.version == 0 {
 		return Decision{Reason: ReasonNoTable}
@@ -96,7 +108,7 @@
 	}
 	attempt := min(segment.Attempt, count-1)
 	decision := forwardTo(ranked[attempt], ReasonChosen)
-	if segment.Attempt > 0 && attempt > 0 {
+	if segment.Attempt > 0 && attempt > 0 && now.Sub(table.servingSince) > copiesSpan {
 		decision.Suspect = ranked[attempt-1].Token
 	}
 	return decision
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -120,3 +120,6 @@
 	Version      uint64
 	ConfirmedAgo time.Duration
 }
+
+// NeverConfirmed is the age of a table that no quorum confirmed yet.
+const NeverConfirmed time.Duration = -1
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -69,9 +69,11 @@
 	revision    model.Revision
 	version     uint64
 	confirmedAt time.Time
-	idleTimeout time.Duration
-	routes      map[netip.AddrPort]route
-	targets     map[directory.Token]*record
+	// servingSince is when the first declared configuration came.
+	servingSince time.Time
+	idleTimeout  time.Duration
+	routes       map[netip.AddrPort]route
+	targets      map[directory.Token]*record
 	// services has the targets that may take new flows, by service.
 	services map[string][]*record
 	changes  board.Notifier
@@ -151,6 +153,9 @@
 	if changes.From > table.revision {
 		return false
 	}
+	if table.version == 0 && changes.Version > 0 {
+		table.servingSince = now
+	}
 	if changes.Whole {
 		table.replace(changes, now)
 	} else {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -61,6 +61,9 @@
 	messageEnds       = "process ends"
 )
 
+// neverConfirmed is the age of a table that no quorum confirmed yet.
+const neverConfirmed = "never"
+
 // maximumLine bounds one log line, in bytes.
 const maximumLine = 1 << 20
 
@@ -236,8 +239,12 @@
 	if line.Opening {
 		kind = fmt.Sprintf("opening packet, copy %d,", line.Attempt)
 	}
-	text := fmt.Sprintf("%s: %s to %s; reason %s; table revision %d, version %d, confirmed %s before",
-		line.Message, kind, line.Route, line.Reason, line.Revision, line.Version, line.ConfirmedAgo)
+	confirmed := "confirmed " + line.ConfirmedAgo + " before"
+	if line.ConfirmedAgo == neverConfirmed {
+		confirmed = "not confirmed yet"
+	}
+	text := fmt.Sprintf("%s: %s to %s; reason %s; table revision %d, version %d, %s",
+		line.Message, kind, line.Route, line.Reason, line.Revision, line.Version, confirmed)
 	if line.Target != 0 {
 		text += fmt.Sprintf("; target %x, token %d", line.Target, line.Token)
 	}
@@ -274,6 +281,9 @@
 	if failure := story.failure(lines); failure != "" {
 		return "The flow was opened, and its target died afterwards. " + failure
 	}
+	if late := story.lateStart(lines); late != "" {
+		return late
+	}
 	if copies := story.copies(); copies > 0 {
 		return fmt.Sprintf("The flow was opened at its choice %d: %s", copies+1, story.firstChoice(lines))
 	}
@@ -309,6 +319,31 @@
 	return highest
 }
 
+// lateStart tells that the flow had to wait for its balancer: the balancer had
+// started shortly before, so that former copies of the opening packet reached no
+// balancer, or the packet waited for the first table.
+func (story *story) lateStart(lines []Line) string {
+	first := story.decisions[0]
+	waited := first.Message == messageDropped && first.Reason == "no_table"
+	if !waited && (!first.Opening || first.Attempt == 0) {
+		return ""
+	}
+	for _, line := range lines {
+		started := line.Message == messageStarts && line.Node == first.Node
+		if !started || line.Time.After(first.Time) || first.Time.Sub(line.Time) > around {
+			continue
+		}
+		began := line.Time.Format(time.RFC3339Nano)
+		if waited {
+			return fmt.Sprintf("The flow waited %s for the first table of its balancer, which had started at %s.",
+				story.last.Sub(story.first), began)
+		}
+		return fmt.Sprintf("The flow was opened by copy %d of its opening packet; no balancer took the former ones, and this one had started at %s.",
+			first.Attempt, began)
+	}
+	return ""
+}
+
 // failure tells when and why one of the flow's targets was found dead.
 func (story *story) failure(lines []Line) string {
 	for _, line := range lines {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -57,6 +57,21 @@
 			line("01", "b1", "process starts", ""),
 			line("02", "b1", "packet dropped", `,"caller":"`+flow+`","reason":"no_table","opening":true`),
 		}, "had just started and had no table", 2},
+		{"waited for the first table", []string{
+			line("01", "b1", "process starts", ""),
+			line("02", "b1", "packet dropped", `,"caller":"`+flow+`","reason":"no_table","opening":true`),
+			line("03", "b1", "flow opened", opened),
+		}, "waited 1s for the first table of its balancer, which had started at 2026-12-02T10:00:01Z", 3},
+		{"former copies reached no balancer", []string{
+			line("01", "b1", "process starts", ""),
+			line("02", "b1", "flow opened", strings.Replace(opened, `"attempt":0`, `"attempt":2`, 1)),
+			line("02", "b2", "suspected target probed", `,"target":70,"token":7,"outcome":"answered"`),
+		}, "opened by copy 2 of its opening packet; no balancer took the former ones", 3},
+		{"former copy long after a start", []string{
+			line("01", "b1", "process starts", ""),
+			line("09", "b1", "flow opened", strings.Replace(opened, `"attempt":0`, `"attempt":2`, 1)),
+			line("09", "b2", "suspected target probed", `,"target":70,"token":7,"outcome":"answered"`),
+		}, "at its choice 3", 2},
 		{"balancer ended", []string{
 			line("01", "b1", "flow opened", opened),
 			line("02", "b1", "process ends", ""),
