Try all members before other balancers

A search begins at the members, in this balancer's own order, and goes on to balancers after them.

TestMembersAreTriedBeforeBalancers, which failed before for one of six names.

--- a/internal/direct/feed/peers_test.go
+++ b/internal/direct/feed/peers_test.go
@@ -157,6 +157,29 @@
 	require.Contains(t, []model.NodeName{"a", "b"}, one.subscriber.Following(), "members are followed again once they are reached")
 }
 
+// TestMembersAreTriedBeforeBalancers: a balancer whose member goes finds another
+// member, although it knows other balancers.
+func TestMembersAreTriedBeforeBalancers(t *testing.T) {
+	for _, name := range []model.NodeName{"n1", "n2", "n3", "n4", "n5", "n6"} {
+		one, two, three := newNode(name, 16, "a", "b"), newNode("x2", 16, "a", "b"), newNode("x3", 16, "a", "b")
+		fabric := newFabric([]*member{newMember("a"), newMember("b")}, one, two, three)
+		for _, member := range fabric.members {
+			member.declare(t, 1)
+		}
+		fabric.run(5 * time.Second)
+		require.NotEmpty(t, one.subscriber.peers)
+		fabric.separate(name, one.subscriber.Following())
+		followed := make(map[model.NodeName]bool)
+		for range 150 {
+			fabric.run(10 * time.Millisecond)
+			followed[one.subscriber.Following()] = true
+		}
+		require.NotContains(t, followed, model.NodeName("x2"), "%s", name)
+		require.NotContains(t, followed, model.NodeName("x3"), "%s", name)
+		require.Contains(t, []model.NodeName{"a", "b"}, one.subscriber.Following())
+	}
+}
+
 // TestBalancersThatAreCutOffTogetherConfirmNothing: the age of what they tell
 // each other only grows.
 func TestBalancersThatAreCutOffTogetherConfirmNothing(t *testing.T) {
--- a/internal/direct/feed/subscriber.go
+++ b/internal/direct/feed/subscriber.go
@@ -168,7 +168,7 @@
 		subscriber.take(now, envelope.From, update)
 	}
 	if now.Sub(subscriber.freshAt) > silenceLimit {
-		subscriber.following = ""
+		subscriber.lose()
 	}
 	subscriber.show()
 	switch {
@@ -178,7 +178,7 @@
 		subscriber.askedAt = now
 		subscriber.ask(subscriber.following)
 	case !subscriber.isMember(subscriber.following):
-		subscriber.search(now, returnInterval, subscriber.members)
+		subscriber.search(now, returnInterval, subscriber.membersInOrder())
 	}
 }
 
@@ -202,10 +202,19 @@
 	return slices.Contains(subscriber.members, node)
 }
 
-// candidates are the nodes to try: members, and then balancers once the word
-// of a quorum is old, so that a start of everything goes to the members alone.
+// candidates are the nodes to try in turn: all members, beginning at a place of
+// this balancer's own so that balancers spread over them, and then balancers.
 func (subscriber *Subscriber) candidates() []model.NodeName {
-	return append(slices.Clone(subscriber.members), subscriber.peers...)
+	return append(subscriber.membersInOrder(), subscriber.peers...)
+}
+
+func (subscriber *Subscriber) membersInOrder() []model.NodeName {
+	members := subscriber.members
+	if len(members) == 0 {
+		return nil
+	}
+	start := int(xxhash.Sum64String(string(subscriber.mailbox.Self)) % uint64(len(members)))
+	return slices.Concat(members[start:], members[:start])
 }
 
 // take applies an update. A gap makes the subscriber ask again from what it
@@ -245,12 +254,21 @@
 	subscriber.depth.Store(uint32(update.Depth) + 1)
 	switch {
 	case !near:
-		subscriber.following = ""
+		subscriber.lose()
 	case confirmedAt.After(subscriber.freshAt):
 		subscriber.freshAt = confirmedAt
 	}
 }
 
+// lose ends the following of a node; the search for another one begins at the
+// members.
+func (subscriber *Subscriber) lose() {
+	if subscriber.following != "" {
+		subscriber.following = ""
+		subscriber.position = 0
+	}
+}
+
 // consider follows a node that is current when none is followed, and a member
 // rather than another balancer.
 func (subscriber *Subscriber) consider(now time.Time, node model.NodeName) {
@@ -273,15 +291,13 @@
 	delete(subscriber.connected, node)
 }
 
-// search asks nodes in turn, beginning at a place of this balancer's own so
-// that balancers spread over the members.
+// search asks nodes in turn.
 func (subscriber *Subscriber) search(now time.Time, pause time.Duration, nodes []model.NodeName) {
 	if now.Sub(subscriber.triedAt) < pause || len(nodes) == 0 {
 		return
 	}
 	subscriber.triedAt = now
-	start := int(xxhash.Sum64String(string(subscriber.mailbox.Self)) % uint64(len(nodes)))
-	node := nodes[(start+subscriber.position)%len(nodes)]
+	node := nodes[subscriber.position%len(nodes)]
 	subscriber.position++
 	subscriber.tried = node
 	subscriber.answered = false
