Pack large tables once for all balancers that ask; close idle calls sooner

After a start every balancer asks for the whole table. With 870 routes and 3,000 targets gob took 2 ms and 132 kB for each of them; a link of 2.6 Mbit/s needs 0.4 s for that. Members kept the connection of every target for 30 s, also of those that had been handed over to balancers.

Connections without a request close after 8 s.

--- a/internal/direct/feed/feed.go
+++ b/internal/direct/feed/feed.go
@@ -40,6 +40,8 @@
 // Update answers a Subscribe, and follows each commit.
 type Update struct {
 	Changes directory.Changes
+	// Packed has the changes instead when there are many.
+	Packed []byte
 	// Fresh tells that the sender knows of a confirmed quorum: as a member that
 	// leads or hears its leader, or as a balancer that follows such a member.
 	Fresh bool
--- a/internal/direct/feed/publisher.go
+++ b/internal/direct/feed/publisher.go
@@ -208,17 +208,31 @@
 	depth    uint8
 	pause    time.Duration
 	same     directory.Changes
+	packed   []byte
 	from     model.Revision
 	made     bool
 }
 
 func (batch *batch) update(from model.Revision) Update {
 	if !batch.made || batch.from != from {
-		batch.same = batch.store.ChangesSince(from)
+		batch.take(batch.store.ChangesSince(from))
 		batch.from = from
 		batch.made = true
 	}
-	return Update{Changes: batch.same, Fresh: batch.fresh, Age: batch.age, Depth: batch.depth, Members: batch.members}
+	return Update{Changes: batch.same, Packed: batch.packed, Fresh: batch.fresh, Age: batch.age, Depth: batch.depth, Members: batch.members}
+}
+
+// take keeps changes for the next followers, packed when there are many.
+func (batch *batch) take(changes directory.Changes) {
+	batch.same = changes
+	batch.packed = nil
+	if changes.Size() < packFrom {
+		return
+	}
+	if packed, err := pack(changes); err == nil {
+		batch.packed = packed
+		batch.same = directory.Changes{Whole: changes.Whole, From: changes.From, To: changes.To, Version: changes.Version}
+	}
 }
 
 func (publisher *Publisher) takeSubscriptions(now time.Time) {
--- a/internal/direct/feed/subscriber.go
+++ b/internal/direct/feed/subscriber.go
@@ -220,6 +220,13 @@
 // take applies an update. A gap makes the subscriber ask again from what it
 // has.
 func (subscriber *Subscriber) take(now time.Time, from model.NodeName, update Update) {
+	if len(update.Packed) > 0 {
+		changes, err := unpack(update.Packed)
+		if err != nil {
+			return
+		}
+		update.Changes = changes
+	}
 	if len(update.Members) > 0 {
 		subscriber.members = merged(update.Members, subscriber.seeds)
 	}
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -15,8 +15,10 @@
 const (
 	// headerTimeout bounds the wait for a request's header.
 	headerTimeout = 2 * time.Second
-	// idleTimeout is how long a connection without a request is kept.
-	idleTimeout = 30 * time.Second
+	// idleTimeout is how long a connection without a request is kept: longer
+	// than the time between two renewals of a target, and short enough that
+	// thousands of targets which renew elsewhere hold no memory.
+	idleTimeout = 8 * time.Second
 	// callsTimeout bounds the wait for calls under way when a server stops.
 	callsTimeout = time.Second
 )
