Keep targets at balancers while members have too much to do

A balancer takes renewals up to 6 s after the last word of a quorum; a member hands targets over above 40 renewals a second instead of 100.

--- a/internal/direct/renewal/relay.go
+++ b/internal/direct/renewal/relay.go
@@ -24,6 +24,12 @@
 // tellInterval is the time between two messages with renewals.
 const tellInterval = 400 * time.Millisecond
 
+// heardWithin is how long after the last word of a quorum a balancer takes
+// renewals. It is longer than a table counts as current: when members have too
+// much to do, all targets that went back to them would be more than they can
+// take, and a target whose renewals do not arrive is probed before it fails.
+const heardWithin = 6 * time.Second
+
 // keptFor is how long a renewal is kept while no node is followed; an older one
 // says nothing any more.
 const keptFor = 3 * time.Second
@@ -53,7 +59,7 @@
 // Renew takes a target's renewal. It refuses what must be committed and what
 // the table does not know.
 func (relay *Relay) Renew(now time.Time, stated directory.Target) error {
-	if !relay.table.Fresh(now) {
+	if confirmedAt := relay.table.ConfirmedAt(); confirmedAt.IsZero() || now.Sub(confirmedAt) > heardWithin {
 		return faults.New(faults.QuorumUnconfirmed, "this balancer has not heard from a quorum lately")
 	}
 	known, exists := relay.table.FindTarget(stated.ID)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -333,7 +333,7 @@
 		Direct: Direct{
 			Followers:         64,
 			PeerFollowers:     16,
-			RenewalsPerSecond: 100,
+			RenewalsPerSecond: 40,
 			ToleratedLosses:   1,
 			ElectionTimeout:   400 * time.Millisecond,
 			HeartbeatInterval: 80 * time.Millisecond,
