--- a/internal/direct/declared/declared.go
+++ b/internal/direct/declared/declared.go
@@ -26,8 +26,20 @@
 	KindUnsafe RequestKind = "unsafe"
 	// KindUpload requests carry large bodies and run at most once.
 	KindUpload RequestKind = "upload"
+	// KindDownload requests have large answers and may be repeated.
+	KindDownload RequestKind = "download"
 )
 
+// Known tells whether the kind is one of the above.
+func (kind RequestKind) Known() bool {
+	switch kind {
+	case KindSafe, KindUnsafe, KindUpload, KindDownload:
+		return true
+	default:
+		return false
+	}
+}
+
 // PoolPart is one service's part of a route's new flows.
 type PoolPart struct {
 	Service string
@@ -134,7 +146,7 @@
 		return invalid("routes[%d]: the address is missing", index)
 	case route.Timeout <= 0:
 		return invalid("routes[%d].timeout: must be positive", index)
-	case route.Kind != KindSafe && route.Kind != KindUnsafe && route.Kind != KindUpload:
+	case !route.Kind.Known():
 		return invalid("routes[%d].kind: %q is not known", index, route.Kind)
 	}
 	return route.validatePool(index, services)
--- a/internal/direct/declared/declared_test.go
+++ b/internal/direct/declared/declared_test.go
@@ -36,6 +36,9 @@
 		field  string
 	}{
 		{"sound", func(*Configuration) {}, ""},
+		{"unsafe", func(c *Configuration) { c.Routes[0].Kind = KindUnsafe }, ""},
+		{"download", func(c *Configuration) { c.Routes[0].Kind = KindDownload }, ""},
+		{"no kind", func(c *Configuration) { c.Routes[0].Kind = "" }, "routes[0].kind"},
 		{"a part of weight zero beside others", func(c *Configuration) { c.Routes[0].Pool[1].Weight = 0 }, ""},
 		{"no version", func(c *Configuration) { c.Version = 0 }, "version"},
 		{"service without a name", func(c *Configuration) { c.Services[1].Name = "" }, "services[1].name"},
--- a/internal/direct/registrar/registrar_test.go
+++ b/internal/direct/registrar/registrar_test.go
@@ -182,6 +182,9 @@
 	require.Equal(t, faults.ConfigurationInvalid, faults.CodeOf(bench.declare(invalid)), "validity comes before the version")
 	invalid.Version = 9
 	require.Equal(t, faults.ConfigurationInvalid, faults.CodeOf(bench.declare(invalid)))
+	unknown := configurationOf(10, 443)
+	unknown.Routes[0].Kind = "odd"
+	require.Equal(t, faults.ConfigurationInvalid, faults.CodeOf(bench.declare(unknown)))
 	require.Equal(t, uint64(7), bench.group.directory.Configuration().Version)
 }
 
--- a/internal/sim/directworld/operator.go
+++ b/internal/sim/directworld/operator.go
@@ -22,16 +22,19 @@
 
 // base returns the configuration that every version contains.
 func (operator *operator) base(version uint64) *declared.Configuration {
-	route := func(name string, address netip.AddrPort, service string) declared.Route {
+	route := func(name string, address netip.AddrPort, kind declared.RequestKind, service string) declared.Route {
 		return declared.Route{
-			Name: name, Address: address, Kind: declared.KindSafe, Timeout: time.Second,
+			Name: name, Address: address, Kind: kind, Timeout: time.Second,
 			Pool: []declared.PoolPart{{Service: service, Weight: 1}},
 		}
 	}
 	return &declared.Configuration{
 		Version:  version,
 		Services: []declared.Service{{Name: serviceFeed, HealthPath: "/health"}, {Name: serviceLedger, HealthPath: "/health"}},
-		Routes:   []declared.Route{route("feed", routeFeed, serviceFeed), route("ledger", routeLedger, serviceLedger)},
+		Routes: []declared.Route{
+			route("feed", routeFeed, declared.KindSafe, serviceFeed),
+			route("ledger", routeLedger, declared.KindDownload, serviceLedger),
+		},
 	}
 }
 
