Give new flows to the least busy of three targets, by open requests that balancers share

Cause: the choice of a target was blind to load (weighted rendezvous hashing by capacity, zone and warmth). Ruled out: processor of balancers (0.011 of 0.4 cores), links, the network.

Change: package requests follows the requests of flows from callers' packets (it was part of outcome.Tracker, which now listens to it); package load keeps the open requests of each target and shares them between up to 16 balancers, which members tell of each other, every 100 ms and only while they change; steer takes the least busy of the three targets that are best by hash, and keeps the order of the hash while they have room (half of their capacity). A copy of an opening packet avoids the target that this balancer sent the former one to. Members tell each other of new followers within 0.2 s. Settings direct.load_candidates, direct.load_interval.

What gives way: two balancers may place copies of one opening packet differently. A caller opens at the first target that answers; the other one is left with a half-open flow, as it was with copies before.

--- /dev/null
+++ b/internal/direct/balancernode/connector.go
@@ -0,0 +1,51 @@
+package balancernode
+
+import (
+	"sync"
+
+	"merlinpaddle/internal/direct"
+	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/transport"
+)
+
+// connections counts how many controllers want a connection to a node, whose
+// name is its address. The first one makes it and the last one closes it.
+type connections struct {
+	links *transport.Links
+
+	lock  sync.Mutex
+	users map[model.NodeName]int
+}
+
+func newConnections(links *transport.Links) *connections {
+	return &connections{links: links, users: make(map[model.NodeName]int)}
+}
+
+// Connect implements feed.Connector and load.Connector.
+func (connections *connections) Connect(node model.NodeName) {
+	connections.lock.Lock()
+	defer connections.lock.Unlock()
+	connections.users[node]++
+	if connections.users[node] == 1 {
+		connections.links.Dial(direct.Peer(node))
+	}
+}
+
+// Connected implements feed.Connector.
+func (connections *connections) Connected(node model.NodeName) bool {
+	return connections.links.Connected(node)
+}
+
+// Disconnect implements feed.Connector and load.Connector.
+func (connections *connections) Disconnect(node model.NodeName) {
+	connections.lock.Lock()
+	defer connections.lock.Unlock()
+	switch connections.users[node] {
+	case 0:
+	case 1:
+		delete(connections.users, node)
+		connections.links.Hangup(node)
+	default:
+		connections.users[node]--
+	}
+}
--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -1,8 +1,8 @@
 // Package balancernode is the fx module of a balancer of direct services.
 //
 // It provides model.Role, *steer.Table, *feed.Subscriber, *feed.Publisher,
-// *renewal.Relay, *outcome.Tracker, *forwarder.Suspects and *forwarder.Forwarder, includes transport.Module, and
-// needs a forwarder.Codec besides what the process base provides.
+// *renewal.Relay, *outcome.Tracker, *requests.Watcher, *load.Book, *load.Exchange,
+// *forwarder.Suspects and *forwarder.Forwarder, includes transport.Module, and needs a forwarder.Codec besides what the process base provides.
 package balancernode
 
 import (
@@ -18,9 +18,11 @@
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/forwarder"
+	"merlinpaddle/internal/direct/load"
 	"merlinpaddle/internal/direct/outcome"
 	"merlinpaddle/internal/direct/probe"
 	"merlinpaddle/internal/direct/renewal"
+	"merlinpaddle/internal/direct/requests"
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/process"
@@ -36,6 +38,10 @@
 	publishInterval = time.Second
 	// outcomesInterval is how often outcomes are told.
 	outcomesInterval = 500 * time.Millisecond
+	// requestsInterval is how often overdue requests are looked for.
+	requestsInterval = 100 * time.Millisecond
+	// loadInterval is how often the sharing of load is looked at.
+	loadInterval = 50 * time.Millisecond
 	// renewalsInterval is how often renewals are looked at.
 	renewalsInterval = 400 * time.Millisecond
 	// suspectsInterval is how often suspicions are looked at without a notice.
@@ -51,46 +57,30 @@
 	return fx.Module("direct balancer",
 		fx.Supply(model.RoleBalancer),
 		transport.ModuleWith(transport.QuickTiming()),
-		fx.Provide(newTable, provideSubscriber, provideReplica, providePublisher, provideReports, provideRelay, provideTracker, provideSuspects, provideForwarder, newMetrics, newObserver),
+		fx.Provide(newTable, provideSubscriber, provideReplica, providePublisher, provideReports, provideRelay, provideTracker,
+			load.NewBook, provideWatcher, provideExchange, newConnections, provideSuspects, provideForwarder, newMetrics, newObserver),
 		fx.Provide(newChangeListeners),
 		fx.Invoke(reportChanges, run),
 	)
 }
 
-func newTable(chosen settings.Settings) *steer.Table {
+func newTable(chosen settings.Settings, book *load.Book) *steer.Table {
 	options := steer.DefaultOptions()
 	options.Zone = chosen.Zone
+	options.Candidates = chosen.Direct.LoadCandidates
+	options.Loads = book
 	return steer.NewTable(options)
 }
 
-// linkConnector makes connections to members and balancers by their names,
-// which are their addresses.
-type linkConnector struct {
-	links *transport.Links
-}
-
-// Connect implements feed.Connector.
-func (connector linkConnector) Connect(node model.NodeName) {
-	connector.links.Dial(direct.Peer(node))
-}
-
-// Connected implements feed.Connector.
-func (connector linkConnector) Connected(node model.NodeName) bool {
-	return connector.links.Connected(node)
-}
-
-// Disconnect implements feed.Connector.
-func (connector linkConnector) Disconnect(node model.NodeName) { connector.links.Hangup(node) }
-
 func provideSubscriber(chosen settings.Settings, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher,
-	table *steer.Table, links *transport.Links, changed *changeListeners) *feed.Subscriber {
+	table *steer.Table, connections *connections, changed *changeListeners) *feed.Subscriber {
 	return feed.NewSubscriber(feed.SubscriberOptions{
 		Seeds:    direct.SeedMembers(chosen.Direct),
 		Zone:     model.ZoneName(chosen.Zone),
 		Serves:   servesPeers(chosen),
 		Renewals: chosen.Direct.Renewals,
 		OnChange: changed.notify,
-	}, mailbox, dispatcher, table, linkConnector{links: links})
+	}, mailbox, dispatcher, table, connections)
 }
 
 // servesPeers tells whether other balancers may follow this one.
@@ -154,16 +144,25 @@
 	return outcome.NewTracker(mailbox, subscriber.Following)
 }
 
+func provideWatcher(tracker *outcome.Tracker, book *load.Book) *requests.Watcher {
+	return requests.NewWatcher(tracker, book)
+}
+
+func provideExchange(chosen settings.Settings, book *load.Book, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, connections *connections, subscriber *feed.Subscriber) *load.Exchange {
+	options := load.Options{Interval: chosen.Direct.LoadInterval}
+	return load.NewExchange(options, book, mailbox, dispatcher, connections, subscriber.Neighbours)
+}
+
 func provideSuspects(table *steer.Table, mailbox *protocol.Mailbox, subscriber *feed.Subscriber, logger *zap.Logger) *forwarder.Suspects {
 	return forwarder.NewSuspects(table, probe.New(probe.DialTCP), mailbox, subscriber.Following, logger.Named("targets"))
 }
 
-func provideForwarder(chosen settings.Settings, codec forwarder.Codec, table *steer.Table, suspects *forwarder.Suspects, tracker *outcome.Tracker, observer *observer) (*forwarder.Forwarder, error) {
+func provideForwarder(chosen settings.Settings, codec forwarder.Codec, table *steer.Table, suspects *forwarder.Suspects, watcher *requests.Watcher, observer *observer) (*forwarder.Forwarder, error) {
 	options := forwarder.Options{
 		Address:  chosen.Direct.Packets,
 		LinkRate: chosen.Direct.LinkMegabits * bytesPerMegabit,
 	}
-	return forwarder.New(options, codec, table, suspects, tracker, observer)
+	return forwarder.New(options, codec, table, suspects, watcher, observer)
 }
 
 // parts are what run needs; fx fills it.
@@ -182,6 +181,8 @@
 	Reports    *feed.Reports
 	Relay      *renewal.Relay
 	Tracker    *outcome.Tracker
+	Watcher    *requests.Watcher
+	Exchange   *load.Exchange
 	Suspects   *forwarder.Suspects
 	Forwarder  *forwarder.Forwarder
 	Reloads    *process.Reloads
@@ -201,6 +202,8 @@
 			append(parts.Publisher.Sources(), parts.Table.Watch(), parts.Table.WatchConfirmed())...),
 		board.NewRunner(parts.Reports, time.Second, parts.Reports.Sources()...),
 		board.NewRunner(parts.Tracker, outcomesInterval),
+		board.NewRunner(parts.Watcher, requestsInterval),
+		board.NewRunner(parts.Exchange, loadInterval),
 		board.NewRunner(parts.Relay, renewalsInterval),
 		board.NewRunner(parts.Suspects, suspectsInterval, parts.Suspects.Sources()...),
 	}
--- a/internal/direct/feed/peers.go
+++ b/internal/direct/feed/peers.go
@@ -7,12 +7,20 @@
 	"merlinpaddle/internal/model"
 )
 
-const (
-	// peersNear and peersFar are the numbers of balancers of a balancer's own
-	// zone, and of other zones, that it is told of. Two of each outlive the
-	// loss of one of them, and of a zone.
-	peersNear = 2
-	peersFar  = 2
+// selection has the numbers of balancers of a balancer's own zone, and of other
+// zones, that it is told of.
+type selection struct {
+	near, far int
+}
+
+var (
+	// selectedPeers are balancers to follow. Two of each outlive the loss of one
+	// of them, and of a zone.
+	selectedPeers = selection{near: 2, far: 2}
+	// selectedNeighbours are balancers that share the load of targets. Small
+	// systems share it among all; in large ones, where each balancer has few
+	// requests, it is a sample that bounds the messages.
+	selectedNeighbours = selection{near: 6, far: 10}
 )
 
 // peerFor is how long after it was last heard of a balancer counts as one that
@@ -81,18 +89,18 @@
 // choose returns the balancers that the one with the name is told of: those
 // that come after it in the order of names, so that each is told to as many
 // others as it is told of, and a change moves few choices.
-func (book *peerBook) choose(name model.NodeName, zone model.ZoneName) []model.NodeName {
+func (book *peerBook) choose(name model.NodeName, zone model.ZoneName, wanted selection) []model.NodeName {
 	var chosen []model.NodeName
-	near, far := peersNear, peersFar
+	near, far := wanted.near, wanted.far
 	start, _ := book.find(name)
 	for step := range book.known {
 		candidate := book.known[(start+step)%len(book.known)]
-		wanted := &far
+		room := &far
 		if candidate.Zone == zone {
-			wanted = &near
+			room = &near
 		}
-		if candidate.Name != name && *wanted > 0 {
-			*wanted--
+		if candidate.Name != name && *room > 0 {
+			*room--
 			chosen = append(chosen, candidate.Name)
 		}
 		if near+far == 0 {
--- a/internal/direct/feed/peers_test.go
+++ b/internal/direct/feed/peers_test.go
@@ -157,6 +157,44 @@
 	require.Contains(t, []model.NodeName{"a", "b"}, one.subscriber.Following(), "members are followed again once they are reached")
 }
 
+// TestMembersTellNeighbours: balancers of all members learn of each other soon
+// after a start, and keep what they know while they follow a balancer.
+func TestMembersTellNeighbours(t *testing.T) {
+	nodes := []*node{
+		newNode("n1", 16, "a", "b"), newNode("n2", 16, "a", "b"), newNode("n3", 16, "a", "b"), newNode("n4", 16, "a", "b"),
+	}
+	fabric := newFabric([]*member{newMember("a"), newMember("b")}, nodes...)
+	for _, member := range fabric.members {
+		member.declare(t, 1)
+	}
+	fabric.run(800 * time.Millisecond)
+	require.ElementsMatch(t, []model.NodeName{"n2", "n3", "n4"}, nodes[0].subscriber.Neighbours())
+	require.ElementsMatch(t, []model.NodeName{"n1", "n2", "n3"}, nodes[3].subscriber.Neighbours())
+	fabric.separate("n1", "a")
+	fabric.separate("n1", "b")
+	fabric.run(3 * time.Second)
+	require.ElementsMatch(t, []model.NodeName{"n2", "n3", "n4"}, nodes[0].subscriber.Neighbours())
+}
+
+func TestNeighboursAreBounded(t *testing.T) {
+	var book peerBook
+	for index := range 90 {
+		book.hear(Peer{Name: model.NodeName(fmt.Sprintf("n%02d", index)), Zone: model.ZoneName(fmt.Sprint(index % 3))}, start)
+	}
+	told := make(map[model.NodeName]int)
+	for index := range 90 {
+		name := model.NodeName(fmt.Sprintf("n%02d", index))
+		chosen := book.choose(name, model.ZoneName(fmt.Sprint(index%3)), selectedNeighbours)
+		require.Len(t, chosen, selectedNeighbours.near+selectedNeighbours.far)
+		for _, other := range chosen {
+			told[other]++
+		}
+	}
+	for name, count := range told {
+		require.Equal(t, selectedNeighbours.near+selectedNeighbours.far, count, "%s is told as often as it tells", name)
+	}
+}
+
 // TestMembersAreTriedBeforeBalancers: a balancer whose member goes finds another
 // member, although it knows other balancers.
 func TestMembersAreTriedBeforeBalancers(t *testing.T) {
@@ -271,12 +309,12 @@
 		}
 		book.hear(Peer{Name: model.NodeName(fmt.Sprintf("n%d", index)), Zone: zone}, start)
 	}
-	require.Equal(t, []model.NodeName{"n5", "n6", "n7", "n8"}, book.choose("n4", "near"))
-	require.Equal(t, []model.NodeName{"n9", "n0", "n1", "n2"}, book.choose("n8", "near"), "the order goes round")
+	require.Equal(t, []model.NodeName{"n5", "n6", "n7", "n8"}, book.choose("n4", "near", selectedPeers))
+	require.Equal(t, []model.NodeName{"n9", "n0", "n1", "n2"}, book.choose("n8", "near", selectedPeers), "the order goes round")
 	book.hear(Peer{Name: "n5", Zone: "far"}, start.Add(peerFor))
 	book.dropOld(start.Add(peerFor + time.Millisecond))
-	require.Equal(t, []model.NodeName{"n5"}, book.choose("n4", "near"))
-	require.Empty(t, book.choose("n5", "far"), "a balancer is not told of itself")
+	require.Equal(t, []model.NodeName{"n5"}, book.choose("n4", "near", selectedPeers))
+	require.Empty(t, book.choose("n5", "far", selectedPeers), "a balancer is not told of itself")
 	var empty peerBook
-	require.Empty(t, empty.choose("n1", "near"))
+	require.Empty(t, empty.choose("n1", "near", selectedPeers))
 }
--- a/internal/direct/feed/publisher.go
+++ b/internal/direct/feed/publisher.go
@@ -55,8 +55,10 @@
 	fresh   bool
 	members []model.NodeName
 	peers   []model.NodeName
-	peer    Peer
-	serves  bool
+	// neighbours are those that the follower was told of last.
+	neighbours []model.NodeName
+	peer       Peer
+	serves     bool
 }
 
 // Publisher is the controller that sends a node's store to balancers.
@@ -77,6 +79,8 @@
 	shownPeers atomic.Pointer[[]Peer]
 	// toldAt is when the other members were last told of the followers.
 	toldAt time.Time
+	// toldFollowers is the number of followers then.
+	toldFollowers int
 }
 
 // PublisherOptions are what a publisher works with.
@@ -162,8 +166,10 @@
 }
 
 const (
-	// tellInterval is the time between two messages to the other members.
+	// tellInterval is the time between two messages to the other members, and
+	// tellPause the least time after one when more balancers follow.
 	tellInterval = 2 * time.Second
+	tellPause    = 200 * time.Millisecond
 	// toldPeers bounds the balancers that the other members are told of.
 	toldPeers = 32
 )
@@ -180,10 +186,13 @@
 
 // tellMembers tells the other members of the followers that others may follow.
 func (publisher *Publisher) tellMembers(now time.Time) {
-	if !publisher.options.TellsMembers || now.Sub(publisher.toldAt) < tellInterval {
+	since := now.Sub(publisher.toldAt)
+	grown := len(publisher.followers) > publisher.toldFollowers && since >= tellPause
+	if !publisher.options.TellsMembers || !grown && since < tellInterval {
 		return
 	}
 	publisher.toldAt = now
+	publisher.toldFollowers = len(publisher.followers)
 	var told []Peer
 	for _, name := range sortedNames(publisher.followers) {
 		if known := publisher.followers[name]; known.serves && len(told) < toldPeers {
@@ -269,16 +278,29 @@
 	} else {
 		known.members = update.Members
 	}
-	if peers := publisher.peers.choose(name, known.peer.Zone); !slices.Equal(known.peers, peers) {
+	if peers := publisher.peers.choose(name, known.peer.Zone, selectedPeers); !slices.Equal(known.peers, peers) {
 		update.Peers = peers
 		known.peers = peers
 	}
+	if publisher.options.TellsMembers {
+		publisher.tellNeighbours(name, known, &update)
+	}
 	known.sent = max(known.sent, update.Changes.To)
 	known.sentAt = now
 	known.fresh = update.Fresh
 	publisher.mailbox.Send(name, update)
 }
 
+// tellNeighbours tells the follower with which balancers it shares the load of
+// targets. Members do so alone: they know of all balancers.
+func (publisher *Publisher) tellNeighbours(name model.NodeName, known *follower, update *Update) {
+	neighbours := publisher.peers.choose(name, known.peer.Zone, selectedNeighbours)
+	if !slices.Equal(known.neighbours, neighbours) {
+		update.Neighbours = neighbours
+		known.neighbours = neighbours
+	}
+}
+
 func sortedNames(followers map[model.NodeName]*follower) []model.NodeName {
 	names := make([]model.NodeName, 0, len(followers))
 	for name := range followers {
--- a/internal/direct/feed/subscriber.go
+++ b/internal/direct/feed/subscriber.go
@@ -82,6 +82,8 @@
 	// shown and shownMembers are following and members for other goroutines.
 	shown        atomic.Value
 	shownMembers atomic.Pointer[[]model.NodeName]
+	// neighbours are the balancers that share the load of targets.
+	neighbours atomic.Pointer[[]model.NodeName]
 	// depth is one more than that of the followed node.
 	depth     atomic.Uint32
 	newSeeds  atomic.Pointer[[]model.NodeName]
@@ -147,6 +149,15 @@
 // called from any goroutine; the names must not be modified.
 func (subscriber *Subscriber) Members() []model.NodeName { return *subscriber.shownMembers.Load() }
 
+// Neighbours returns the balancers to tell of the load of targets. It may be
+// called from any goroutine; the names must not be modified.
+func (subscriber *Subscriber) Neighbours() []model.NodeName {
+	if neighbours := subscriber.neighbours.Load(); neighbours != nil {
+		return *neighbours
+	}
+	return nil
+}
+
 // Depth returns the number of balancers between this one and the member that it
 // hears of, counting this one. It may be called from any goroutine.
 func (subscriber *Subscriber) Depth() uint8 { return uint8(subscriber.depth.Load()) }
@@ -233,6 +244,9 @@
 	if len(update.Peers) > 0 {
 		subscriber.peers = update.Peers
 	}
+	if len(update.Neighbours) > 0 {
+		subscriber.neighbours.Store(&update.Neighbours)
+	}
 	subscriber.answered = subscriber.answered || from == subscriber.tried
 	before := subscriber.table.Revision()
 	current := subscriber.table.Apply(update.Changes, now)
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -12,8 +12,8 @@
 	"net/netip"
 	"time"
 
-	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/egress"
+	"merlinpaddle/internal/direct/requests"
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/faults"
 )
@@ -47,11 +47,16 @@
 	Malformed(err error)
 }
 
-// Outcomes is told of the packets of open flows that were sent on; its method
-// must return at once.
-type Outcomes interface {
+// Requests is told of the packets that were sent on to targets; its methods must
+// return at once.
+type Requests interface {
+	// Placed takes in that an opening packet was sent on to target.
+	Placed(segment steer.Segment, target requests.Target, now time.Time)
+	// Former returns the target that the last opening packet of the segment's
+	// flow was sent on to, if that is known.
+	Former(segment steer.Segment) (requests.Target, bool)
 	// Note takes in a packet that was sent on to the target of its flow.
-	Note(segment steer.Segment, target directory.TargetID, now time.Time)
+	Note(segment steer.Segment, target requests.Target, now time.Time)
 }
 
 // Forwarder is the packet path of one balancer.
@@ -61,7 +66,7 @@
 	table    *steer.Table
 	suspects *Suspects
 	observer Observer
-	outcomes Outcomes
+	requests Requests
 	parking  *parking
 	egress   *egress.Egress
 }
@@ -76,7 +81,7 @@
 }
 
 // New opens the socket.
-func New(options Options, codec Codec, table *steer.Table, suspects *Suspects, outcomes Outcomes, observer Observer) (*Forwarder, error) {
+func New(options Options, codec Codec, table *steer.Table, suspects *Suspects, requests Requests, observer Observer) (*Forwarder, error) {
 	parsed, err := netip.ParseAddrPort(options.Address)
 	if err != nil {
 		return nil, faults.New(faults.PacketSocket, "direct.packets: %v", err)
@@ -88,7 +93,7 @@
 	// A smaller buffer than asked for loses packets earlier; nothing else.
 	_ = socket.SetReadBuffer(socketBufferBytes)
 	_ = socket.SetWriteBuffer(socketBufferBytes)
-	forwarder := &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, outcomes: outcomes, observer: observer, parking: newParking()}
+	forwarder := &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, requests: requests, observer: observer, parking: newParking()}
 	forwarder.egress = egress.New(options.LinkRate, forwarder.write)
 	return forwarder, nil
 }
@@ -143,6 +148,10 @@
 // decide does with a packet what the table says.
 func (forwarder *Forwarder) decide(buffer []byte, headroom int, segment steer.Segment, now time.Time) {
 	packet := buffer[headroom:]
+	if segment.Opening && segment.Attempt > 0 {
+		former, _ := forwarder.requests.Former(segment)
+		segment.Former = former.Token
+	}
 	decision := forwarder.table.Decide(segment, now)
 	forwarder.observer.Decided(segment, decision)
 	if worthParking(decision.Reason) {
@@ -153,9 +162,7 @@
 	}
 	switch decision.Action {
 	case steer.Forward:
-		if decision.Reason == steer.ReasonOwner {
-			forwarder.outcomes.Note(segment, decision.ID, now)
-		}
+		forwarder.note(segment, decision, now)
 		forwarder.send(segment, forwarder.codec.Deliver(buffer, decision), decision.Target, now)
 	case steer.Reset:
 		reset, to := forwarder.codec.Reset(packet, segment)
@@ -163,6 +170,16 @@
 	}
 }
 
+// note tells of a packet that goes to a target.
+func (forwarder *Forwarder) note(segment steer.Segment, decision steer.Decision, now time.Time) {
+	target := requests.Target{Token: decision.Token, ID: decision.ID}
+	if segment.Opening {
+		forwarder.requests.Placed(segment, target, now)
+		return
+	}
+	forwarder.requests.Note(segment, target, now)
+}
+
 // release decides anew about parked packets after the table changed. A copy of
 // an opening packet is treated as the first: its former copies were not placed
 // either.
--- a/internal/direct/forwarder/forwarder_test.go
+++ b/internal/direct/forwarder/forwarder_test.go
@@ -17,6 +17,7 @@
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/probe"
+	"merlinpaddle/internal/direct/requests"
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/faults"
 	"merlinpaddle/internal/model"
@@ -92,8 +93,16 @@
 	counter.reasons[decision.Reason]++
 }
 
-// Note implements Outcomes.
-func (counter *counter) Note(steer.Segment, directory.TargetID, time.Time) {
+// Placed implements Requests.
+func (counter *counter) Placed(steer.Segment, requests.Target, time.Time) {}
+
+// Former implements Requests.
+func (counter *counter) Former(steer.Segment) (requests.Target, bool) {
+	return requests.Target{}, false
+}
+
+// Note implements Requests.
+func (counter *counter) Note(steer.Segment, requests.Target, time.Time) {
 	counter.lock.Lock()
 	defer counter.lock.Unlock()
 	counter.noted++
--- /dev/null
+++ b/internal/direct/requests/watcher.go
@@ -0,0 +1,240 @@
+// Package requests follows the requests of a balancer's flows from the packets
+// of their callers, which are all that a balancer sees.
+//
+// A request begins at a target when an opening packet goes there, because a
+// request follows soon, or with the first data of an open flow. It is answered
+// when the caller acknowledges data of the target after it. A caller that ends
+// the flow before, or that hears nothing for long, was not answered.
+//
+// Watcher is safe for many goroutines: flows are kept in shards, each under its
+// own lock. Listeners learn of each beginning and of exactly one ending for it.
+package requests
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/steer"
+)
+
+const (
+	// shardCount is the number of shards; a power of two.
+	shardCount = 16
+	// flowsKept bounds the flows with an open request that are watched at a
+	// time; others are not followed.
+	flowsKept = 2048
+	// HangAfter is how long a request may go unanswered before it counts so. It
+	// is far above the time of a request on a busy target.
+	HangAfter = time.Second
+	// placedFor is how long after its opening packet a flow may bring no data
+	// before its request counts as withdrawn: copies of the opening packet have
+	// gone elsewhere by then.
+	placedFor = 500 * time.Millisecond
+)
+
+// Target names the target that a request is at.
+type Target struct {
+	Token directory.Token
+	ID    directory.TargetID
+}
+
+// Ending tells how a request ended.
+type Ending uint8
+
+// The endings.
+const (
+	// Answered: the caller acknowledged data of the target.
+	Answered Ending = iota
+	// Unanswered: the caller gave up, or heard nothing for HangAfter.
+	Unanswered
+	// Withdrawn: the request went to another target, or the flow did not open.
+	Withdrawn
+)
+
+// Listener is told of requests. Its methods must return at once and must not
+// call the watcher.
+type Listener interface {
+	// Began is told that a request is at the target, or comes soon.
+	Began(target Target)
+	// Ended is told how a request ended, once for each that began.
+	Ended(target Target, ending Ending)
+}
+
+// flowKey names a flow by its two ends.
+type flowKey struct {
+	caller  netip.AddrPort
+	service netip.AddrPort
+}
+
+func keyOf(segment steer.Segment) flowKey {
+	return flowKey{caller: segment.Caller, service: segment.Service}
+}
+
+// request is the open request of a watched flow.
+type request struct {
+	target Target
+	// asked tells that data was sent; until then the flow is only opening.
+	asked bool
+	// acknowledged is the caller's acknowledgement when it asked.
+	acknowledged uint32
+	// sequence is the highest number of data that was sent. Data that is sent
+	// again does not move since: it was not taken.
+	sequence uint32
+	// since is when the opening packet, or the latest new data, was sent on.
+	since time.Time
+}
+
+// overdue tells whether the request has been open for too long, and how it ends
+// then.
+func (open *request) overdue(now time.Time) (Ending, bool) {
+	if open.asked {
+		return Unanswered, now.Sub(open.since) >= HangAfter
+	}
+	return Withdrawn, now.Sub(open.since) >= placedFor
+}
+
+// shard has a part of the flows.
+type shard struct {
+	lock     sync.Mutex
+	requests map[flowKey]request
+}
+
+// Watcher is the controller that follows requests.
+type Watcher struct {
+	listeners []Listener
+	shards    [shardCount]shard
+}
+
+// NewWatcher returns a watcher that tells the listeners.
+func NewWatcher(listeners ...Listener) *Watcher {
+	watcher := &Watcher{listeners: listeners}
+	for index := range watcher.shards {
+		watcher.shards[index].requests = make(map[flowKey]request)
+	}
+	return watcher
+}
+
+// shard returns the shard of a flow. Callers take ports in turn, so that their
+// low bits spread.
+func (watcher *Watcher) shard(key flowKey) *shard {
+	address := key.caller.Addr().As16()
+	return &watcher.shards[(uint(key.caller.Port())+uint(address[15]))%shardCount]
+}
+
+// Placed takes in that an opening packet was sent on to target.
+func (watcher *Watcher) Placed(segment steer.Segment, target Target, now time.Time) {
+	key := keyOf(segment)
+	shard := watcher.shard(key)
+	shard.lock.Lock()
+	defer shard.lock.Unlock()
+	open, known := shard.requests[key]
+	switch {
+	case known && open.target == target:
+		return
+	case known:
+		watcher.end(shard, key, open, Withdrawn)
+	case len(shard.requests) >= flowsKept/shardCount:
+		return
+	}
+	watcher.begin(shard, key, request{target: target, since: now})
+}
+
+// Former returns the target that the last opening packet of the segment's flow
+// was sent on to, if that was lately.
+func (watcher *Watcher) Former(segment steer.Segment) (Target, bool) {
+	key := keyOf(segment)
+	shard := watcher.shard(key)
+	shard.lock.Lock()
+	defer shard.lock.Unlock()
+	open, known := shard.requests[key]
+	return open.target, known && !open.asked
+}
+
+// Note takes in a packet that was sent on to the target of an open flow.
+func (watcher *Watcher) Note(segment steer.Segment, target Target, now time.Time) {
+	key := keyOf(segment)
+	shard := watcher.shard(key)
+	shard.lock.Lock()
+	defer shard.lock.Unlock()
+	open, known := shard.requests[key]
+	if known && open.target != target {
+		watcher.end(shard, key, open, Withdrawn)
+		known = false
+	}
+	switch {
+	case known && open.asked && int32(segment.Acknowledgement-open.acknowledged) > 0:
+		watcher.end(shard, key, open, Answered)
+		known = false
+	case known && (segment.Abort || segment.Closing):
+		watcher.end(shard, key, open, open.givenUp())
+		return
+	}
+	if segment.HasData && !segment.Abort {
+		watcher.ask(shard, key, open, known, target, segment, now)
+	}
+}
+
+// givenUp returns the ending of a request whose caller ends the flow.
+func (open *request) givenUp() Ending {
+	if open.asked {
+		return Unanswered
+	}
+	return Withdrawn
+}
+
+// ask notes data of a request. Data that is sent again changes nothing.
+func (watcher *Watcher) ask(shard *shard, key flowKey, open request, known bool, target Target, segment steer.Segment, now time.Time) {
+	if known && open.asked {
+		if int32(segment.Sequence-open.sequence) > 0 {
+			open.sequence = segment.Sequence
+			open.since = now
+			shard.requests[key] = open
+		}
+		return
+	}
+	if !known && len(shard.requests) >= flowsKept/shardCount {
+		return
+	}
+	asked := request{target: target, asked: true, acknowledged: segment.Acknowledgement, sequence: segment.Sequence, since: now}
+	if known {
+		shard.requests[key] = asked
+		return
+	}
+	watcher.begin(shard, key, asked)
+}
+
+func (watcher *Watcher) begin(shard *shard, key flowKey, open request) {
+	shard.requests[key] = open
+	for _, listener := range watcher.listeners {
+		listener.Began(open.target)
+	}
+}
+
+func (watcher *Watcher) end(shard *shard, key flowKey, open request, ending Ending) {
+	delete(shard.requests, key)
+	for _, listener := range watcher.listeners {
+		listener.Ended(open.target, ending)
+	}
+}
+
+// Name implements board.Controller.
+func (watcher *Watcher) Name() string { return "requests" }
+
+// Reconcile implements board.Controller. It ends requests that are overdue.
+func (watcher *Watcher) Reconcile(now time.Time) {
+	for index := range watcher.shards {
+		watcher.sweep(&watcher.shards[index], now)
+	}
+}
+
+func (watcher *Watcher) sweep(shard *shard, now time.Time) {
+	shard.lock.Lock()
+	defer shard.lock.Unlock()
+	for key, open := range shard.requests {
+		if ending, over := open.overdue(now); over {
+			watcher.end(shard, key, open, ending)
+		}
+	}
+}
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -11,9 +11,10 @@
 	"merlinpaddle/internal/direct/directory"
 )
 
-// choicesKept is the number of distinct targets that the copies of one opening
-// packet may reach.
-const choicesKept = 3
+// choicesKept is the number of targets, best by hash, that are looked at for one
+// opening packet. It bounds Options.Candidates, and the distinct targets that
+// its copies may reach.
+const choicesKept = 8
 
 // copiesSpan is the time within which callers send copies of an opening packet.
 // A balancer whose first table is younger placed none of the former copies, so
@@ -93,27 +94,36 @@
 	return Decision{Action: Forward, Reason: reason, Token: target.Token, ID: target.ID, Target: target.Address}
 }
 
-// open chooses a target for an opening packet. Copies go to the next choice:
-// the former one did not answer in time.
+// open chooses a target for an opening packet. Copies go to another choice: the
+// former one did not answer in time.
 func (table *Table) open(segment Segment, route route, now time.Time) Decision {
 	hash := flowHash(segment)
 	service, found := route.choose(hash)
 	if !found {
 		return Decision{Reason: ReasonNoTarget}
 	}
-	var ranked [choicesKept]*record
-	count := table.rank(service, hash, now, &ranked)
-	if count == 0 {
+	var choices choices
+	table.rank(service, hash, now, &choices)
+	if choices.count == 0 {
 		return Decision{Reason: ReasonNoTarget}
 	}
-	attempt := min(segment.Attempt, count-1)
-	decision := forwardTo(ranked[attempt], ReasonChosen)
-	if segment.Attempt > 0 && attempt > 0 && now.Sub(table.servingSince) > copiesSpan {
-		decision.Suspect = ranked[attempt-1].Token
+	choices.leastBusyFirst(table.options)
+	chosen, former := choices.pick(segment)
+	decision := forwardTo(chosen, ReasonChosen)
+	decision.Open = table.openAt(chosen)
+	if former != 0 && former != chosen.Token && now.Sub(table.servingSince) > copiesSpan {
+		decision.Suspect = former
 	}
 	return decision
 }
 
+func (table *Table) openAt(target *record) int {
+	if table.options.Loads == nil {
+		return 0
+	}
+	return table.options.Loads.Open(target.Token)
+}
+
 // choose picks the part of the pool by weight.
 func (route *route) choose(hash uint64) (string, bool) {
 	if route.total == 0 {
@@ -131,40 +141,100 @@
 	return "", false
 }
 
-// rank fills ranked with the best targets of the service for the hash, by
-// weighted rendezvous hashing, and returns their number. Targets that are just
-// learned or avoided are left out while others are there.
-func (table *Table) rank(service string, hash uint64, now time.Time, ranked *[choicesKept]*record) int {
+// choices are the best targets by hash for one opening packet, best first.
+type choices struct {
+	targets [choicesKept]*record
+	scores  [choicesKept]float64
+	count   int
+}
+
+// add takes a target in by its score.
+func (choices *choices) add(target *record, score float64) {
+	position := choices.count
+	for position > 0 && choices.scores[position-1] < score {
+		position--
+	}
+	if position == choicesKept {
+		return
+	}
+	choices.count = min(choices.count+1, choicesKept)
+	copy(choices.scores[position+1:choices.count], choices.scores[position:choices.count-1])
+	copy(choices.targets[position+1:choices.count], choices.targets[position:choices.count-1])
+	choices.scores[position] = score
+	choices.targets[position] = target
+}
+
+// leastBusyFirst sorts the first candidates by how busy they are. Those that are
+// about as busy stay in the order of their hash, which prefers near ones.
+func (choices *choices) leastBusyFirst(options Options) {
+	candidates := min(options.Candidates, choices.count)
+	if options.Loads == nil || candidates < 2 {
+		return
+	}
+	var pressures [choicesKept]float64
+	for index := range candidates {
+		target := choices.targets[index]
+		pressure := target.pressure(options.Loads.Open(target.Token))
+		position := index
+		for position > 0 && pressures[position-1] > pressure {
+			choices.targets[position] = choices.targets[position-1]
+			pressures[position] = pressures[position-1]
+			position--
+		}
+		choices.targets[position] = target
+		pressures[position] = pressure
+	}
+}
+
+// relaxedPressure is the share of a target's capacity up to which it counts as
+// idle: a further request is worked on at once.
+const relaxedPressure = 0.5
+
+// pressure is the number of open requests by capacity.
+func (target *record) pressure(open int) float64 {
+	return max(float64(open)/float64(max(target.Capacity, 1)), relaxedPressure)
+}
+
+// pick returns the target for the opening packet, and the token of the one that
+// did not answer its former copy, or zero. When this balancer does not know
+// where the former copy went, it went where this balancer would have sent it.
+func (choices *choices) pick(segment Segment) (chosen *record, former directory.Token) {
+	if segment.Attempt == 0 {
+		return choices.targets[0], 0
+	}
+	if segment.Former == 0 {
+		attempt := min(segment.Attempt, choices.count-1)
+		if attempt == 0 {
+			return choices.targets[0], 0
+		}
+		return choices.targets[attempt], choices.targets[attempt-1].Token
+	}
+	for _, target := range choices.targets[:choices.count] {
+		if target.Token != segment.Former {
+			return target, segment.Former
+		}
+	}
+	return choices.targets[0], segment.Former
+}
+
+// rank fills choices with the best targets of the service for the hash, by
+// weighted rendezvous hashing. Targets that are just learned or avoided are left
+// out while others are there.
+func (table *Table) rank(service string, hash uint64, now time.Time, choices *choices) {
 	targets := table.services[service]
-	count := table.rankUsable(targets, hash, now, ranked, false)
-	if count == 0 {
-		count = table.rankUsable(targets, hash, now, ranked, true)
+	table.rankUsable(targets, hash, now, choices, false)
+	if choices.count == 0 {
+		table.rankUsable(targets, hash, now, choices, true)
 	}
-	return count
 }
 
-func (table *Table) rankUsable(targets []*record, hash uint64, now time.Time, ranked *[choicesKept]*record, all bool) int {
-	var scores [choicesKept]float64
-	count := 0
+func (table *Table) rankUsable(targets []*record, hash uint64, now time.Time, choices *choices, all bool) {
 	for _, target := range targets {
 		if !all && (target.Aside || now.Before(target.usableAt) || now.Before(target.avoidUntil)) {
 			continue
 		}
-		score := table.score(target, hash, now)
-		position := count
-		for position > 0 && scores[position-1] < score {
-			position--
-		}
-		if position == choicesKept {
-			continue
-		}
-		count = min(count+1, choicesKept)
-		copy(scores[position+1:count], scores[position:count-1])
-		copy(ranked[position+1:count], ranked[position:count-1])
-		scores[position] = score
-		ranked[position] = target
+		choices.add(target, table.score(target, hash, now))
 	}
-	return count
 }
 
 // score is the target's place in weighted rendezvous hashing: the target with
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -27,6 +27,9 @@
 	Opening bool
 	// Attempt counts the copies of an opening packet, from zero.
 	Attempt int
+	// Former is the token of the target that the former copy of an opening
+	// packet was sent on to, as far as this balancer knows; else zero.
+	Former directory.Token
 	// Abort tells that the packet itself ends its flow at once; it is never
 	// answered.
 	Abort bool
@@ -113,6 +116,9 @@
 	// Suspect is the token of the target that did not answer the former copy
 	// of this opening packet, or zero.
 	Suspect directory.Token
+	// Open is the number of requests that were open at the target, as far as
+	// was known; set with ReasonChosen.
+	Open int
 	// Revision, Version and ConfirmedAgo tell the table that decided: its
 	// revision, its declared version, and how long ago a member confirmed it.
 	// They are not set for packets that reach their owner.
--- a/internal/direct/steer/steer_test.go
+++ b/internal/direct/steer/steer_test.go
@@ -125,6 +125,90 @@
 	}
 }
 
+// loads has the open requests of targets.
+type loads map[directory.Token]int
+
+// Open implements Loads.
+func (loads loads) Open(token directory.Token) int { return loads[token] }
+
+// loadedTable returns a table of count targets of capacity two that chooses
+// among candidates by their load.
+func loadedTable(t testing.TB, count, candidates int, open loads) *Table {
+	t.Helper()
+	options := DefaultOptions()
+	options.Candidates = candidates
+	options.Loads = open
+	table := NewTable(options)
+	require.True(t, table.Apply(whole(count), start))
+	table.Confirm(start)
+	return table
+}
+
+func TestTheLeastBusyCandidateIsChosen(t *testing.T) {
+	open := loads{1: 9, 2: 9, 3: 4, 4: 9, 5: 9}
+	table := loadedTable(t, 5, 5, open)
+	for port := range 200 {
+		decision := table.Decide(opening(port+1), start)
+		require.Equal(t, directory.Token(3), decision.Token)
+		require.Equal(t, 4, decision.Open)
+	}
+}
+
+func TestOneCandidateChoosesByHash(t *testing.T) {
+	plain, loaded := tableOf(t, whole(5)), loadedTable(t, 5, 1, loads{1: 9, 3: 4})
+	for port := range 200 {
+		require.Equal(t, plain.Decide(opening(port+1), start).Token, loaded.Decide(opening(port+1), start).Token)
+	}
+}
+
+// TestTargetsWithRoomKeepTheOrderOfTheirHash: while every candidate has room,
+// balancers choose alike, and near targets are preferred.
+func TestTargetsWithRoomKeepTheOrderOfTheirHash(t *testing.T) {
+	plain, loaded := tableOf(t, whole(5)), loadedTable(t, 5, 5, loads{1: 1, 3: 1})
+	for port := range 200 {
+		require.Equal(t, plain.Decide(opening(port+1), start).Token, loaded.Decide(opening(port+1), start).Token)
+	}
+}
+
+// TestFlowsSpreadOverFewCandidates: balancers that know the same old counts do
+// not all choose the same target.
+func TestFlowsSpreadOverFewCandidates(t *testing.T) {
+	open := loads{}
+	for token := directory.Token(1); token <= 14; token++ {
+		open[token] = 4
+	}
+	open[5] = 3
+	table := loadedTable(t, 14, 3, open)
+	chosen := 0
+	const flows = 5000
+	for port := range flows {
+		if table.Decide(opening(port+1), start).Token == 5 {
+			chosen++
+		}
+	}
+	require.InDelta(t, 3.0/14, float64(chosen)/flows, 0.03)
+}
+
+func TestCopiesAvoidTheTargetThatDidNotAnswer(t *testing.T) {
+	table := loadedTable(t, 5, 3, loads{})
+	first := opening(9)
+	chosen := table.Decide(first, start.Add(2*copiesSpan))
+	second := opening(9)
+	second.Attempt = 1
+	for former := directory.Token(1); former <= 5; former++ {
+		second.Former = former
+		decision := table.Decide(second, start.Add(2*copiesSpan))
+		require.NotEqual(t, former, decision.Token)
+		require.Equal(t, former, decision.Suspect)
+	}
+	second.Former = chosen.Token
+	table = loadedTable(t, 1, 3, loads{})
+	second.Former = 1
+	decision := table.Decide(second, start.Add(2*copiesSpan))
+	require.Equal(t, directory.Token(1), decision.Token, "the only target is tried again")
+	require.Zero(t, decision.Suspect, "it is not probed for that")
+}
+
 // TestCopiesAfterAStartSuspectNobody: the former copies came while this balancer
 // had no table.
 func TestCopiesAfterAStartSuspectNobody(t *testing.T) {
@@ -285,7 +369,7 @@
 }
 
 func TestDecisionsAllocateNothing(t *testing.T) {
-	table := tableOf(t, whole(14))
+	table := loadedTable(t, 14, 3, loads{1: 3, 2: 5})
 	require.Zero(t, testing.AllocsPerRun(200, func() {
 		_ = table.Decide(opening(77), start)
 		_ = table.Decide(Segment{Caller: opening(1).Caller, Service: feedRoute, Token: 3}, start)
@@ -303,6 +387,13 @@
 				_ = table.Decide(opening(index%60000), start)
 			}
 		})
+		loaded := loadedTable(b, count, 3, loads{1: 3, 2: 5})
+		b.Run(fmt.Sprintf("open by load/targets=%d", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for index := 0; b.Loop(); index++ {
+				_ = loaded.Decide(opening(index%60000), start)
+			}
+		})
 		b.Run(fmt.Sprintf("owner/targets=%d", count), func(b *testing.B) {
 			b.ReportAllocs()
 			segment := Segment{Caller: opening(1).Caller, Service: feedRoute, Token: 3}
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -28,6 +28,18 @@
 	// times as many of its new flows as others of the same capacity.
 	Zone       string
 	NearWeight float64
+	// Candidates is the number of targets, best by hash, among which the least
+	// busy one is chosen for a new flow; one chooses by hash alone.
+	Candidates int
+	// Loads tells how busy targets are; nil when nobody knows.
+	Loads Loads
+}
+
+// Loads tells how busy targets are, as far as is known. It may be called from
+// any goroutine.
+type Loads interface {
+	// Open returns the number of requests that are open at the target.
+	Open(token directory.Token) int
 }
 
 // DefaultOptions returns the bounds of processes.
@@ -37,6 +49,7 @@
 		FreshFor:   1500 * time.Millisecond,
 		AvoidFor:   3 * time.Second,
 		NearWeight: 4,
+		Candidates: 3,
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,12 @@
 	// PeerFollowers bounds the balancers that a balancer feeds. Zero, or no
 	// listen address, feeds none.
 	PeerFollowers int `koanf:"peer_followers" validate:"min=0,max=10000"`
+	// LoadCandidates is the number of targets among which a balancer gives a
+	// new flow to the least busy one; one chooses by hash alone.
+	LoadCandidates int `koanf:"load_candidates" validate:"min=1,max=8"`
+	// LoadInterval is the least time between two reports of a balancer's open
+	// requests to other balancers; zero shares none.
+	LoadInterval time.Duration `koanf:"load_interval" validate:"min=0,max=1000000000"`
 	// Renewals is the address on which a balancer takes renewals of targets
 	// that members hand over; empty takes none.
 	Renewals string `koanf:"renewals" validate:"omitempty,hostport"`
@@ -333,6 +339,8 @@
 		Direct: Direct{
 			Followers:         64,
 			PeerFollowers:     16,
+			LoadCandidates:    3,
+			LoadInterval:      100 * time.Millisecond,
 			RenewalsPerSecond: 40,
 			ToleratedLosses:   1,
 			ElectionTimeout:   400 * time.Millisecond,
--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -9,7 +9,9 @@
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/forwarder"
+	"merlinpaddle/internal/direct/load"
 	"merlinpaddle/internal/direct/outcome"
+	"merlinpaddle/internal/direct/requests"
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/protocol"
@@ -20,6 +22,9 @@
 // a message.
 const balancerInterval = 40 * time.Millisecond
 
+// loadInterval is the least time between two reports of open requests.
+const loadInterval = 100 * time.Millisecond
+
 // peerFollowers bounds the balancers that a simulated balancer feeds.
 const peerFollowers = 16
 
@@ -29,7 +34,7 @@
 	process    *kernel.Process
 	table      *steer.Table
 	suspects   *forwarder.Suspects
-	tracker    *outcome.Tracker
+	watcher    *requests.Watcher
 	subscriber *feed.Subscriber
 	// startedAt is when the present life began.
 	startedAt time.Time
@@ -61,6 +66,8 @@
 	balancer.startedAt = balancer.world.Now()
 	options := steer.DefaultOptions()
 	options.Zone = string(balancer.process.Zone)
+	book := load.NewBook()
+	options.Loads = book
 	balancer.table = steer.NewTable(options)
 	var replica *feed.Replica
 	subscriber := feed.NewSubscriber(feed.SubscriberOptions{
@@ -73,11 +80,13 @@
 	publisher := feed.NewPublisher(feed.PublisherOptions{Limit: peerFollowers}, mailbox, dispatcher, replica, replica)
 	reports := feed.NewReports(mailbox, dispatcher, subscriber.Following)
 	balancer.subscriber = subscriber
-	balancer.tracker = outcome.NewTracker(mailbox, subscriber.Following)
+	tracker := outcome.NewTracker(mailbox, subscriber.Following)
+	balancer.watcher = requests.NewWatcher(tracker, book)
+	exchange := load.NewExchange(load.Options{Interval: loadInterval}, book, mailbox, dispatcher, noConnector{}, subscriber.Neighbours)
 	balancer.suspects = forwarder.NewSuspects(balancer.table, balancer.world.prober(balancer.process), mailbox, subscriber.Following, zap.NewNop())
 	return kernel.Program{
 		Mailbox:     mailbox,
-		Controllers: []board.Controller{dispatcher, subscriber, publisher, reports, balancer.suspects, balancer.tracker},
+		Controllers: []board.Controller{dispatcher, subscriber, publisher, reports, balancer.suspects, balancer.watcher, tracker, exchange},
 	}
 }
 
@@ -106,7 +115,12 @@
 		return
 	}
 	now := balancer.process.LocalNow()
-	decision := world.options.Parts.Decide(balancer.table, packet.segment(), now)
+	segment := packet.segment()
+	if segment.Opening && segment.Attempt > 0 {
+		former, _ := balancer.watcher.Former(segment)
+		segment.Former = former.Token
+	}
+	decision := world.options.Parts.Decide(balancer.table, segment, now)
 	world.checks.decided(balancer, packet, decision)
 	if decision.Suspect != 0 {
 		balancer.suspects.Note(decision.Suspect)
@@ -114,8 +128,11 @@
 	}
 	switch decision.Action {
 	case steer.Forward:
-		if decision.Reason == steer.ReasonOwner {
-			balancer.tracker.Note(packet.segment(), decision.ID, now)
+		target := requests.Target{Token: decision.Token, ID: decision.ID}
+		if segment.Opening {
+			balancer.watcher.Placed(segment, target, now)
+		} else {
+			balancer.watcher.Note(segment, target, now)
 		}
 		world.deliver(balancer, packet, decision)
 	case steer.Reset:
