Share load while it matters, and refuse new flows while a service stays congested

Change: a balancer learns the serving time of targets, and resets an opening packet at once when the least busy candidate would take longer than 0.6 of the route's objective (0.48 for the next lower priority). Routes tell balancers objective and priority.

Lines of decisions say how many requests were open at the target and what an answer was expected to take; explain tells why a flow was refused. Setting direct.load_admission; 0 switches it off.

--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -39,7 +39,7 @@
 	// outcomesInterval is how often outcomes are told.
 	outcomesInterval = 500 * time.Millisecond
 	// requestsInterval is how often overdue requests are looked for.
-	requestsInterval = 100 * time.Millisecond
+	requestsInterval = 250 * time.Millisecond
 	// loadInterval is how often the sharing of load is looked at.
 	loadInterval = 50 * time.Millisecond
 	// renewalsInterval is how often renewals are looked at.
@@ -68,6 +68,7 @@
 	options := steer.DefaultOptions()
 	options.Zone = chosen.Zone
 	options.Candidates = chosen.Direct.LoadCandidates
+	options.AdmitShare = chosen.Direct.LoadAdmission
 	options.Loads = book
 	return steer.NewTable(options)
 }
@@ -148,9 +149,9 @@
 	return requests.NewWatcher(tracker, book)
 }
 
-func provideExchange(chosen settings.Settings, book *load.Book, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, connections *connections, subscriber *feed.Subscriber) *load.Exchange {
-	options := load.Options{Interval: chosen.Direct.LoadInterval}
-	return load.NewExchange(options, book, mailbox, dispatcher, connections, subscriber.Neighbours)
+func provideExchange(chosen settings.Settings, book *load.Book, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, connections *connections, subscriber *feed.Subscriber, table *steer.Table) *load.Exchange {
+	options := load.Options{Interval: chosen.Direct.LoadInterval, Neighbours: subscriber.Neighbours, Capacities: table}
+	return load.NewExchange(options, book, mailbox, dispatcher, connections)
 }
 
 func provideSuspects(table *steer.Table, mailbox *protocol.Mailbox, subscriber *feed.Subscriber, logger *zap.Logger) *forwarder.Suspects {
--- a/internal/direct/directory/changes.go
+++ b/internal/direct/directory/changes.go
@@ -13,6 +13,10 @@
 type RouteEntry struct {
 	Address netip.AddrPort
 	Pool    []declared.PoolPart
+	// Objective is the latency that operators aim at; zero for none.
+	Objective time.Duration
+	// Priority orders routes under overload; zero is the highest.
+	Priority int
 }
 
 // TargetEntry is what a balancer needs of a target.
@@ -87,10 +91,19 @@
 	}
 }
 
+func (record routeRecord) entry() RouteEntry {
+	return RouteEntry{
+		Address:   record.route.Address,
+		Pool:      record.route.Pool,
+		Objective: record.route.Objective,
+		Priority:  record.route.Priority,
+	}
+}
+
 func (directory *Directory) collectRoutes(changes *Changes, from model.Revision) {
-	for address, record := range directory.routes {
+	for _, record := range directory.routes {
 		if record.revision > from || changes.Whole {
-			changes.Routes = append(changes.Routes, RouteEntry{Address: address, Pool: record.route.Pool})
+			changes.Routes = append(changes.Routes, record.entry())
 		}
 	}
 	slices.SortFunc(changes.Routes, func(left, right RouteEntry) int { return left.Address.Compare(right.Address) })
--- a/internal/direct/directory/directory_test.go
+++ b/internal/direct/directory/directory_test.go
@@ -170,6 +170,25 @@
 	require.Equal(t, uint64(9), runner.directory.Configuration().Version)
 }
 
+// TestRoutesTellTheirObjectiveAndPriority: balancers admit flows by them.
+func TestRoutesTellTheirObjectiveAndPriority(t *testing.T) {
+	runner := newRunner(t)
+	configuration := configurationOf(7, 1)
+	configuration.Routes[0].Objective = 200 * time.Millisecond
+	configuration.Routes[0].Priority = 2
+	runner.declare(&declared.Configuration{}, configuration)
+	changes := runner.directory.ChangesSince(0)
+	require.Len(t, changes.Routes, 1)
+	require.Equal(t, 200*time.Millisecond, changes.Routes[0].Objective)
+	require.Equal(t, 2, changes.Routes[0].Priority)
+	again := configurationOf(8, 1)
+	again.Routes[0].Objective = 300 * time.Millisecond
+	runner.declare(configuration, again)
+	changes = runner.directory.ChangesSince(changes.To)
+	require.Len(t, changes.Routes, 1, "a changed objective is a change of the route")
+	require.Equal(t, 300*time.Millisecond, changes.Routes[0].Objective)
+}
+
 // reader keeps a copy from changes, as a balancer does.
 type reader struct {
 	revision model.Revision
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -153,10 +153,15 @@
 		segment.Former = former.Token
 	}
 	decision := forwarder.table.Decide(segment, now)
-	forwarder.observer.Decided(segment, decision)
 	if worthParking(decision.Reason) {
 		forwarder.parking.put(packet, segment, now)
 	}
+	forwarder.carryOut(buffer, headroom, segment, decision, now)
+}
+
+// carryOut does what was decided about a packet.
+func (forwarder *Forwarder) carryOut(buffer []byte, headroom int, segment steer.Segment, decision steer.Decision, now time.Time) {
+	forwarder.observer.Decided(segment, decision)
 	if decision.Suspect != 0 {
 		forwarder.suspects.Note(decision.Suspect)
 	}
@@ -165,14 +170,14 @@
 		forwarder.note(segment, decision, now)
 		forwarder.send(segment, forwarder.codec.Deliver(buffer, decision), decision.Target, now)
 	case steer.Reset:
-		reset, to := forwarder.codec.Reset(packet, segment)
+		reset, to := forwarder.codec.Reset(buffer[headroom:], segment)
 		forwarder.send(segment, reset, to, now)
 	}
 }
 
 // note tells of a packet that goes to a target.
 func (forwarder *Forwarder) note(segment steer.Segment, decision steer.Decision, now time.Time) {
-	target := requests.Target{Token: decision.Token, ID: decision.ID}
+	target := requests.Target{Token: decision.Token, ID: decision.ID, Capacity: decision.Capacity}
 	if segment.Opening {
 		forwarder.requests.Placed(segment, target, now)
 		return
--- a/internal/direct/load/book.go
+++ b/internal/direct/load/book.go
@@ -10,6 +10,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/requests"
@@ -22,6 +23,12 @@
 type count struct {
 	// own are those of this balancer, others those that other balancers told.
 	own, others int
+	// serving is the average time, in nanoseconds, from the data of a request to
+	// the caller's acknowledgement of the answer on an idle target; zero while
+	// none was answered.
+	serving float64
+	// used tells that the count changed since the last search for idle ones.
+	used bool
 }
 
 // shard has a part of the targets.
@@ -61,25 +68,60 @@
 	}
 	known.own += own
 	known.others += others
+	known.used = true
 }
 
 // Began implements requests.Listener.
 func (book *Book) Began(target requests.Target) { book.add(target.Token, 1, 0) }
 
 // Ended implements requests.Listener.
-func (book *Book) Ended(target requests.Target, _ requests.Ending) { book.add(target.Token, -1, 0) }
+func (book *Book) Ended(target requests.Target, ending requests.Ending, took time.Duration) {
+	shard := book.shard(target.Token)
+	shard.lock.Lock()
+	defer shard.lock.Unlock()
+	known := shard.counts[target.Token]
+	if known == nil {
+		return
+	}
+	if ending == requests.Answered {
+		known.learn(took, target.Capacity)
+	}
+	known.own--
+}
+
+// servingWeight is the weight of one more answer in the average serving time.
+const servingWeight = 0.1
+
+// learnedCrowd is the number of requests by capacity up to which answers count
+// for the serving time. A fuller target answers some requests by refusing them.
+const learnedCrowd = 2
+
+// learn takes an answer into the serving time. A request that shared the target
+// with more than it works on at once waited for its part of the time.
+func (count *count) learn(took time.Duration, capacity int) {
+	crowd := max(float64(count.own+count.others)/float64(max(capacity, 1)), 1)
+	if crowd > learnedCrowd {
+		return
+	}
+	alone := float64(took) / crowd
+	if count.serving == 0 {
+		count.serving = alone
+		return
+	}
+	count.serving += servingWeight * (alone - count.serving)
+}
 
-// Open returns the number of requests that are open at the target, as far as is
-// known.
-func (book *Book) Open(token directory.Token) int {
+// Load returns the number of requests that are open at the target, and how long
+// it takes with one when it is idle, as far as is known; zero when it is not.
+func (book *Book) Load(token directory.Token) (open int, serving time.Duration) {
 	shard := book.shard(token)
 	shard.lock.RLock()
 	defer shard.lock.RUnlock()
 	known := shard.counts[token]
 	if known == nil {
-		return 0
+		return 0, 0
 	}
-	return known.own + known.others
+	return known.own + known.others, time.Duration(known.serving)
 }
 
 // appendOwn appends this balancer's counts that are not zero, in no order.
@@ -97,16 +139,17 @@
 	return entries
 }
 
-// forgetIdle drops the counts that are zero, so that targets which are gone
-// leave nothing behind.
+// forgetIdle drops the counts that stayed zero since the last call, so that
+// targets which are gone leave nothing behind.
 func (book *Book) forgetIdle() {
 	for index := range book.shards {
 		shard := &book.shards[index]
 		shard.lock.Lock()
 		for token, known := range shard.counts {
-			if *known == (count{}) {
+			if known.own == 0 && known.others == 0 && !known.used {
 				delete(shard.counts, token)
 			}
+			known.used = false
 		}
 		shard.lock.Unlock()
 	}
--- a/internal/direct/load/exchange.go
+++ b/internal/direct/load/exchange.go
@@ -21,6 +21,8 @@
 // sender's report before it; targets that it does not name have none.
 type Report struct {
 	Entries []Entry
+	// Wanted tells that the sender itself finds that the load should be shared.
+	Wanted bool
 }
 
 func init() { protocol.RegisterAs("dl", Report{}) }
@@ -46,11 +48,22 @@
 	Disconnect(node model.NodeName)
 }
 
+// Capacities tells what services can bear.
+type Capacities interface {
+	// ServiceCapacity returns the service of a target, and the number of
+	// requests that its targets together work on at once.
+	ServiceCapacity(token directory.Token) (service string, capacity int)
+}
+
 // Options are what an exchange works with.
 type Options struct {
 	// Interval is the least time between two reports; zero tells nobody and
 	// hears nobody.
 	Interval time.Duration
+	// Neighbours returns the balancers to tell; it may be called at any time.
+	Neighbours func() []model.NodeName
+	// Capacities is asked for the capacity of services.
+	Capacities Capacities
 }
 
 // heard is what another balancer told last.
@@ -67,8 +80,7 @@
 	mailbox   *protocol.Mailbox
 	reports   *board.Queue[protocol.Envelope]
 	connector Connector
-	// neighbours returns the balancers to tell.
-	neighbours func() []model.NodeName
+	demand    demand
 	// connected are the balancers that are told now, sorted.
 	connected []model.NodeName
 	heard     map[model.NodeName]*heard
@@ -78,17 +90,15 @@
 	forgottenAt time.Time
 }
 
-// NewExchange returns the controller. neighbours returns the balancers to tell;
-// it may be called at any time.
-func NewExchange(options Options, book *Book, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, connector Connector, neighbours func() []model.NodeName) *Exchange {
+// NewExchange returns the controller.
+func NewExchange(options Options, book *Book, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, connector Connector) *Exchange {
 	return &Exchange{
-		options:    options,
-		book:       book,
-		mailbox:    mailbox,
-		reports:    dispatcher.Handle(Report{}),
-		connector:  connector,
-		neighbours: neighbours,
-		heard:      make(map[model.NodeName]*heard),
+		options:   options,
+		book:      book,
+		mailbox:   mailbox,
+		reports:   dispatcher.Handle(Report{}),
+		connector: connector,
+		heard:     make(map[model.NodeName]*heard),
 	}
 }
 
@@ -108,10 +118,42 @@
 	for _, envelope := range envelopes {
 		report, _ := envelope.Message.(Report)
 		exchange.take(envelope.From, report.Entries, now)
+		if report.Wanted {
+			exchange.demand.heardAt = now
+		}
 	}
 	exchange.dropSilent(now)
-	exchange.connect(exchange.neighbours())
-	exchange.tell(now)
+	neighbours := exchange.options.Neighbours()
+	entries := exchange.ownEntries()
+	exchange.demand.observe(exchange.utilization(entries, len(neighbours)+1), now)
+	if !exchange.demand.high(now) {
+		neighbours = nil
+	}
+	exchange.connect(neighbours)
+	exchange.tell(entries, now)
+}
+
+// ownEntries returns this balancer's open requests, by the order of tokens.
+func (exchange *Exchange) ownEntries() []Entry {
+	entries := exchange.book.appendOwn(nil)
+	slices.SortFunc(entries, func(left, right Entry) int { return cmp.Compare(left.Token, right.Token) })
+	return entries
+}
+
+// utilization estimates the open requests of the busiest service by its
+// capacity, as if all balancers had as many as this one.
+func (exchange *Exchange) utilization(entries []Entry, balancers int) float64 {
+	open := make(map[string]int)
+	highest := 0.0
+	for _, entry := range entries {
+		service, capacity := exchange.options.Capacities.ServiceCapacity(entry.Token)
+		if capacity == 0 {
+			continue
+		}
+		open[service] += entry.Open
+		highest = max(highest, float64(open[service]*balancers)/float64(capacity))
+	}
+	return highest
 }
 
 // take replaces what a balancer told before.
@@ -168,14 +210,12 @@
 func (exchange *Exchange) dials(name model.NodeName) bool { return exchange.mailbox.Self < name }
 
 // tell sends the open requests when they changed, and now and then else.
-func (exchange *Exchange) tell(now time.Time) {
+func (exchange *Exchange) tell(entries []Entry, now time.Time) {
 	pause := max(exchange.options.Interval, pauseEach*time.Duration(len(exchange.connected)))
 	since := now.Sub(exchange.toldAt)
 	if since < pause || len(exchange.connected) == 0 {
 		return
 	}
-	entries := exchange.book.appendOwn(nil)
-	slices.SortFunc(entries, func(left, right Entry) int { return cmp.Compare(left.Token, right.Token) })
 	same := slices.Equal(entries, exchange.told)
 	if same && (since < keepaliveInterval || len(entries) == 0) {
 		return
@@ -183,6 +223,6 @@
 	exchange.told = entries
 	exchange.toldAt = now
 	for _, name := range exchange.connected {
-		exchange.mailbox.Send(name, Report{Entries: entries})
+		exchange.mailbox.Send(name, Report{Entries: entries, Wanted: exchange.demand.found(now)})
 	}
 }
--- a/internal/direct/load/load_test.go
+++ b/internal/direct/load/load_test.go
@@ -25,6 +25,8 @@
 	exchange   *Exchange
 	neighbours []model.NodeName
 	connected  map[model.NodeName]bool
+	// capacity is that of each service.
+	capacity int
 }
 
 // Connect implements Connector.
@@ -36,11 +38,24 @@
 func newNode(name model.NodeName, interval time.Duration, neighbours ...model.NodeName) *node {
 	made := &node{mailbox: protocol.NewMailbox(name), book: NewBook(), neighbours: neighbours, connected: make(map[model.NodeName]bool)}
 	made.dispatcher = protocol.NewDispatcher(made.mailbox)
-	made.exchange = NewExchange(Options{Interval: interval}, made.book, made.mailbox, made.dispatcher, made,
-		func() []model.NodeName { return made.neighbours })
+	made.exchange = NewExchange(Options{
+		Interval:   interval,
+		Neighbours: func() []model.NodeName { return made.neighbours },
+		Capacities: made,
+	}, made.book, made.mailbox, made.dispatcher, made)
+	made.capacity = 1
 	return made
 }
 
+// ServiceCapacity implements Capacities. Tokens from 100 on are those of a second
+// service.
+func (node *node) ServiceCapacity(token directory.Token) (string, int) {
+	if token >= 100 {
+		return "second", node.capacity
+	}
+	return "first", node.capacity
+}
+
 // run lets time pass at nodes that reach each other, but for those that are cut
 // off.
 func run(from time.Time, duration time.Duration, cut map[model.NodeName]bool, nodes ...*node) time.Time {
@@ -73,44 +88,50 @@
 
 func end(node *node, token directory.Token, count int) {
 	for range count {
-		node.book.Ended(requests.Target{Token: token}, requests.Answered)
+		node.book.Ended(requests.Target{Token: token}, requests.Answered, time.Millisecond)
 	}
 }
 
+// openAt returns the open requests that a node knows of at a target.
+func openAt(node *node, token directory.Token) int {
+	open, _ := node.book.Load(token)
+	return open
+}
+
 func TestBalancersKnowTheOpenRequestsOfOthers(t *testing.T) {
 	one, other := newNode("a", interval, "b"), newNode("b", interval, "a")
 	begin(one, 7, 3)
 	begin(other, 7, 1)
 	begin(other, 8, 2)
-	now := run(start, 2*interval, nil, one, other)
-	require.Equal(t, 4, one.book.Open(7))
-	require.Equal(t, 2, one.book.Open(8))
-	require.Equal(t, 4, other.book.Open(7))
-	require.Zero(t, one.book.Open(9))
+	now := run(start, 3*interval, nil, one, other)
+	require.Equal(t, 4, openAt(one, 7))
+	require.Equal(t, 2, openAt(one, 8))
+	require.Equal(t, 4, openAt(other, 7))
+	require.Zero(t, openAt(one, 9))
 	end(other, 8, 2)
 	end(one, 7, 2)
-	require.Equal(t, 2, one.book.Open(7), "own requests count at once")
+	require.Equal(t, 2, openAt(one, 7), "own requests count at once")
 	run(now, 2*interval, nil, one, other)
-	require.Zero(t, one.book.Open(8))
-	require.Equal(t, 2, other.book.Open(7))
+	require.Zero(t, openAt(one, 8))
+	require.Equal(t, 2, openAt(other, 7))
 }
 
 func TestCountsOfSilentBalancersAreForgotten(t *testing.T) {
 	one, other := newNode("a", interval, "b"), newNode("b", interval, "a")
 	begin(other, 7, 5)
 	now := run(start, 2*interval, nil, one, other)
-	require.Equal(t, 5, one.book.Open(7))
+	require.Equal(t, 5, openAt(one, 7))
 	now = run(now, silentAfter+keepaliveInterval, map[model.NodeName]bool{"b": true}, one, other)
-	require.Zero(t, one.book.Open(7), "the other one is cut off")
+	require.Zero(t, openAt(one, 7), "the other one is cut off")
 	run(now, 2*keepaliveInterval, nil, one, other)
-	require.Equal(t, 5, one.book.Open(7), "unchanged counts are told again")
+	require.Equal(t, 5, openAt(one, 7), "unchanged counts are told again")
 }
 
 func TestCountsStayWhileTheyDoNotChange(t *testing.T) {
 	one, other := newNode("a", interval, "b"), newNode("b", interval, "a")
 	begin(other, 7, 5)
 	run(start, 10*silentAfter, nil, one, other)
-	require.Equal(t, 5, one.book.Open(7))
+	require.Equal(t, 5, openAt(one, 7))
 }
 
 func TestIdleBalancersSayNothing(t *testing.T) {
@@ -145,14 +166,15 @@
 	begin(one, 7, 3)
 	begin(other, 7, 2)
 	run(start, 4*interval, nil, one, other)
-	require.Equal(t, 3, one.book.Open(7))
-	require.Equal(t, 2, other.book.Open(7))
+	require.Equal(t, 3, openAt(one, 7))
+	require.Equal(t, 2, openAt(other, 7))
 }
 
 // TestOneOfTwoConnects: a connection carries both ways, so the one with the
 // lower name makes it.
 func TestOneOfTwoConnects(t *testing.T) {
 	node := newNode("b", interval, "a", "c", "d")
+	begin(node, 7, 1)
 	node.exchange.Reconcile(start)
 	require.Equal(t, map[model.NodeName]bool{"c": true, "d": true}, node.connected)
 	node.neighbours = []model.NodeName{"d", "e"}
@@ -160,21 +182,88 @@
 	require.Equal(t, map[model.NodeName]bool{"d": true, "e": true}, node.connected)
 }
 
+// TestLoadIsSharedWhileSomeServiceIsBusy: balancers with room tell each other
+// nothing, and one busy service is enough.
+func TestLoadIsSharedWhileSomeServiceIsBusy(t *testing.T) {
+	one, other := newNode("a", interval, "b"), newNode("b", interval, "a")
+	one.capacity, other.capacity = 20, 20
+	begin(one, 7, 4)
+	begin(one, 100, 4)
+	begin(other, 7, 3)
+	now := run(start, 10*demandSpan, nil, one, other)
+	require.Equal(t, 4, openAt(one, 7), "less than half of the capacity leaves room")
+	require.Empty(t, one.connected)
+	begin(one, 101, 4)
+	now = run(now, 3*demandSpan, nil, one, other)
+	require.Equal(t, 7, openAt(one, 7))
+	require.Equal(t, 7, openAt(other, 7), "the other one shares, too")
+	require.NotEmpty(t, one.connected)
+	end(one, 101, 4)
+	run(now, 2*demandLasts+10*demandSpan, nil, one, other)
+	require.Equal(t, 4, openAt(one, 7))
+	require.Empty(t, one.connected, "both end sharing, although each heard the other")
+}
+
+func TestServingTimeIsLearned(t *testing.T) {
+	target := requests.Target{Token: 7, Capacity: 2}
+	answer := func(book *Book, open int, took time.Duration, ending requests.Ending) {
+		for range open {
+			book.Began(target)
+		}
+		book.Ended(target, ending, took)
+		for range open - 1 {
+			book.Ended(target, requests.Withdrawn, 0)
+		}
+	}
+	cases := []struct {
+		name   string
+		open   int
+		took   time.Duration
+		ending requests.Ending
+		want   time.Duration
+	}{
+		{"alone", 1, 40 * time.Millisecond, requests.Answered, 40 * time.Millisecond},
+		{"as many as its capacity", 2, 40 * time.Millisecond, requests.Answered, 40 * time.Millisecond},
+		{"some wait", 4, 80 * time.Millisecond, requests.Answered, 40 * time.Millisecond},
+		{"full, where an answer may be a refusal", 10, 30 * time.Millisecond, requests.Answered, 0},
+		{"unanswered", 1, time.Second, requests.Unanswered, 0},
+		{"withdrawn", 1, time.Millisecond, requests.Withdrawn, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			book := NewBook()
+			answer(book, test.open, test.took, test.ending)
+			open, serving := book.Load(7)
+			require.Zero(t, open)
+			require.Equal(t, test.want, serving)
+		})
+	}
+	book := NewBook()
+	answer(book, 1, 40*time.Millisecond, requests.Answered)
+	for range 100 {
+		answer(book, 1, 80*time.Millisecond, requests.Answered)
+	}
+	_, serving := book.Load(7)
+	require.InDelta(t, 80*time.Millisecond, serving, float64(time.Millisecond), "it follows a target that turns slow")
+}
+
 func TestIdleTargetsLeaveNothingBehind(t *testing.T) {
 	one := newNode("a", interval, "b")
 	begin(one, 7, 1)
 	begin(one, 8, 1)
 	end(one, 8, 1)
 	one.exchange.Reconcile(start)
+	require.Len(t, one.book.shard(8).counts, 1, "it was used a moment ago")
+	one.exchange.Reconcile(start.Add(forgetInterval))
 	require.Len(t, one.book.shard(7).counts, 1)
 	require.Empty(t, one.book.shard(8).counts)
 }
 
-func BenchmarkOpen(b *testing.B) {
+func BenchmarkLoad(b *testing.B) {
 	book := NewBook()
 	book.Began(requests.Target{Token: 7})
 	b.ReportAllocs()
 	for b.Loop() {
-		_ = book.Open(7)
+		_, _ = book.Load(7)
 	}
 }
--- a/internal/direct/outcome/tracker.go
+++ b/internal/direct/outcome/tracker.go
@@ -50,7 +50,7 @@
 func (tracker *Tracker) Began(requests.Target) {}
 
 // Ended implements requests.Listener.
-func (tracker *Tracker) Ended(target requests.Target, ending requests.Ending) {
+func (tracker *Tracker) Ended(target requests.Target, ending requests.Ending, _ time.Duration) {
 	if ending == requests.Withdrawn {
 		return
 	}
--- a/internal/direct/requests/watcher.go
+++ b/internal/direct/requests/watcher.go
@@ -38,6 +38,8 @@
 type Target struct {
 	Token directory.Token
 	ID    directory.TargetID
+	// Capacity is the number of requests that the target works on at once.
+	Capacity int
 }
 
 // Ending tells how a request ended.
@@ -58,8 +60,9 @@
 type Listener interface {
 	// Began is told that a request is at the target, or comes soon.
 	Began(target Target)
-	// Ended is told how a request ended, once for each that began.
-	Ended(target Target, ending Ending)
+	// Ended is told how a request ended, once for each that began. took is the
+	// time since its first data, or since its opening packet when none came.
+	Ended(target Target, ending Ending, took time.Duration)
 }
 
 // flowKey names a flow by its two ends.
@@ -82,8 +85,10 @@
 	// sequence is the highest number of data that was sent. Data that is sent
 	// again does not move since: it was not taken.
 	sequence uint32
-	// since is when the opening packet, or the latest new data, was sent on.
-	since time.Time
+	// begunAt is when the opening packet, or the first data, was sent on, and
+	// since when the latest new data was.
+	begunAt time.Time
+	since   time.Time
 }
 
 // overdue tells whether the request has been open for too long, and how it ends
@@ -134,11 +139,11 @@
 	case known && open.target == target:
 		return
 	case known:
-		watcher.end(shard, key, open, Withdrawn)
+		watcher.end(shard, key, open, Withdrawn, now)
 	case len(shard.requests) >= flowsKept/shardCount:
 		return
 	}
-	watcher.begin(shard, key, request{target: target, since: now})
+	watcher.begin(shard, key, request{target: target, begunAt: now, since: now})
 }
 
 // Former returns the target that the last opening packet of the segment's flow
@@ -160,15 +165,15 @@
 	defer shard.lock.Unlock()
 	open, known := shard.requests[key]
 	if known && open.target != target {
-		watcher.end(shard, key, open, Withdrawn)
+		watcher.end(shard, key, open, Withdrawn, now)
 		known = false
 	}
 	switch {
 	case known && open.asked && int32(segment.Acknowledgement-open.acknowledged) > 0:
-		watcher.end(shard, key, open, Answered)
+		watcher.end(shard, key, open, Answered, now)
 		known = false
 	case known && (segment.Abort || segment.Closing):
-		watcher.end(shard, key, open, open.givenUp())
+		watcher.end(shard, key, open, open.givenUp(), now)
 		return
 	}
 	if segment.HasData && !segment.Abort {
@@ -197,7 +202,10 @@
 	if !known && len(shard.requests) >= flowsKept/shardCount {
 		return
 	}
-	asked := request{target: target, asked: true, acknowledged: segment.Acknowledgement, sequence: segment.Sequence, since: now}
+	asked := request{
+		target: target, asked: true, acknowledged: segment.Acknowledgement, sequence: segment.Sequence,
+		begunAt: now, since: now,
+	}
 	if known {
 		shard.requests[key] = asked
 		return
@@ -212,10 +220,10 @@
 	}
 }
 
-func (watcher *Watcher) end(shard *shard, key flowKey, open request, ending Ending) {
+func (watcher *Watcher) end(shard *shard, key flowKey, open request, ending Ending, now time.Time) {
 	delete(shard.requests, key)
 	for _, listener := range watcher.listeners {
-		listener.Ended(open.target, ending)
+		listener.Ended(open.target, ending, now.Sub(open.begunAt))
 	}
 }
 
@@ -234,7 +242,7 @@
 	defer shard.lock.Unlock()
 	for key, open := range shard.requests {
 		if ending, over := open.overdue(now); over {
-			watcher.end(shard, key, open, ending)
+			watcher.end(shard, key, open, ending, now)
 		}
 	}
 }
--- a/internal/direct/requests/watcher_test.go
+++ b/internal/direct/requests/watcher_test.go
@@ -50,7 +50,7 @@
 
 func (book *book) Began(target Target) { book.open[target.Token]++ }
 
-func (book *book) Ended(target Target, ending Ending) {
+func (book *book) Ended(target Target, ending Ending, _ time.Duration) {
 	book.open[target.Token]--
 	switch ending {
 	case Answered:
--- /dev/null
+++ b/internal/direct/steer/admission_test.go
@@ -0,0 +1,125 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/direct/directory"
+)
+
+// busy has the same load at every target.
+type busy struct {
+	open    int
+	serving time.Duration
+}
+
+// Load implements Loads.
+func (busy *busy) Load(directory.Token) (int, time.Duration) { return busy.open, busy.serving }
+
+// objective is that of the test's urgent route.
+const objective = 200 * time.Millisecond
+
+// admissionTable returns a table of three targets of capacity two. The routes
+// are an urgent one, a less urgent one, and one without an objective.
+func admissionTable(t *testing.T, load *busy, change func(options *Options)) *Table {
+	t.Helper()
+	options := DefaultOptions()
+	options.Loads = load
+	if change != nil {
+		change(&options)
+	}
+	changes := whole(3)
+	pool := []declared.PoolPart{{Service: "feed", Weight: 1}}
+	changes.Routes = []directory.RouteEntry{
+		{Address: feedRoute, Pool: pool, Objective: objective, Priority: 1},
+		{Address: lateRoute, Pool: pool, Objective: objective, Priority: 2},
+		{Address: noRoute, Pool: pool, Priority: 1},
+	}
+	table := NewTable(options)
+	require.True(t, table.Apply(changes, start))
+	return table
+}
+
+// lateRoute is a route of a lower priority.
+var lateRoute = feedRouteAt(444)
+
+// press sends an opening packet each 10 ms for a while and returns the last
+// decision.
+func press(table *Table, from time.Time, duration time.Duration, segment Segment) Decision {
+	var decision Decision
+	for passed := time.Duration(0); passed <= duration; passed += 10 * time.Millisecond {
+		decision = table.Decide(segment, from.Add(passed))
+	}
+	return decision
+}
+
+func TestFlowsAreRefusedWhileAServiceStaysCongested(t *testing.T) {
+	to := func(route int) Segment {
+		segment := opening(9)
+		segment.Service = feedRouteAt(route)
+		return segment
+	}
+	// Share 0.6 of 200 ms, in two slots: 50 ms each leave room for four.
+	long := 3 * congestionSpan
+	cases := []struct {
+		name     string
+		load     busy
+		duration time.Duration
+		segment  Segment
+		change   func(options *Options)
+		reason   Reason
+	}{
+		{"more than the objective allows", busy{5, 50 * time.Millisecond}, long, to(443), nil, ReasonOverloaded},
+		{"a passing backlog", busy{5, 50 * time.Millisecond}, congestionSpan / 2, to(443), nil, ReasonChosen},
+		{"as much as the objective allows", busy{3, 50 * time.Millisecond}, long, to(443), nil, ReasonChosen},
+		{"a quick service", busy{5, 30 * time.Millisecond}, long, to(443), nil, ReasonChosen},
+		{"a serving time that nobody knows", busy{5, 0}, long, to(443), nil, ReasonOverloaded},
+		{"a slow service with an idle target", busy{1, time.Minute}, long, to(443), nil, ReasonChosen},
+		{"less urgent", busy{3, 50 * time.Millisecond}, long, to(444), nil, ReasonOverloaded},
+		{"no objective", busy{50, 50 * time.Millisecond}, long, Segment{Caller: opening(9).Caller, Service: noRoute, Opening: true}, nil, ReasonChosen},
+		{"admission switched off", busy{50, time.Second}, long, to(443), func(options *Options) { options.AdmitShare = 0 }, ReasonChosen},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			table := admissionTable(t, &test.load, test.change)
+			decision := press(table, start, test.duration, test.segment)
+			require.Equal(t, test.reason, decision.Reason)
+			want := Forward
+			if test.reason == ReasonOverloaded {
+				want = Reset
+			}
+			require.Equal(t, want, decision.Action, "who is refused learns it at once")
+		})
+	}
+}
+
+func TestCongestionEndsWithItsCause(t *testing.T) {
+	load := &busy{open: 20, serving: 50 * time.Millisecond}
+	table := admissionTable(t, load, nil)
+	require.Equal(t, ReasonOverloaded, press(table, start, 3*congestionSpan, opening(9)).Reason)
+	load.open = 1
+	later := start.Add(3 * congestionSpan)
+	press(table, later, congestionSpan, opening(9))
+	load.open = 20
+	require.Equal(t, ReasonChosen, table.Decide(opening(9), later.Add(congestionSpan+time.Millisecond)).Reason)
+}
+
+// TestOpenFlowsAreNeverRefused: only new flows are.
+func TestOpenFlowsAreNeverRefused(t *testing.T) {
+	table := admissionTable(t, &busy{open: 50, serving: time.Second}, nil)
+	require.Equal(t, ReasonOverloaded, press(table, start, 3*congestionSpan, opening(9)).Reason)
+	segment := Segment{Caller: opening(9).Caller, Service: feedRoute, Token: 2, HasData: true}
+	require.Equal(t, Forward, table.Decide(segment, start.Add(3*congestionSpan)).Action)
+}
+
+// TestCongestionOutlivesChangesOfTheTable: a change of targets is no relief.
+func TestCongestionOutlivesChangesOfTheTable(t *testing.T) {
+	table := admissionTable(t, &busy{open: 20, serving: 50 * time.Millisecond}, nil)
+	end := start.Add(3 * congestionSpan)
+	press(table, start, 3*congestionSpan, opening(9))
+	require.True(t, table.Apply(next(10, entry(4, "feed", directory.TargetReady)), end))
+	require.Equal(t, ReasonOverloaded, table.Decide(opening(9), end).Reason)
+}
--- /dev/null
+++ b/internal/direct/steer/congestion.go
@@ -0,0 +1,45 @@
+package steer
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// congestionSpan is the time over which new flows of a service are averaged.
+	congestionSpan = 2 * time.Second
+	// congestedFrom is the part of new flows without an idle target from which a
+	// service counts as congested. A backlog that goes away by itself, as after an
+	// outage, stays below.
+	congestedFrom = 0.5
+)
+
+// congestion tells a lasting lack of capacity from a passing one, by how many
+// new flows of a service lately found no idle target. Refusing helps against the
+// first: what is let in is served in time. In the second, what is late is still
+// served. The idea is that of controlled delay (Nichols and Jacobson, 2012): only
+// a queue that does not drain is a reason to drop.
+type congestion struct {
+	lock  sync.Mutex
+	level float64
+	at    time.Time
+}
+
+// observe takes in whether a new flow found no idle target, and returns whether
+// the service is congested.
+func (congestion *congestion) observe(full bool, now time.Time) bool {
+	congestion.lock.Lock()
+	defer congestion.lock.Unlock()
+	passed := max(now.Sub(congestion.at), 0)
+	if congestion.at.IsZero() {
+		passed = 0
+	}
+	congestion.at = now
+	kept := math.Exp(-float64(passed) / float64(congestionSpan))
+	congestion.level *= kept
+	if full {
+		congestion.level += 1 - kept
+	}
+	return congestion.level >= congestedFrom
+}
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -91,37 +91,77 @@
 }
 
 func forwardTo(target *record, reason Reason) Decision {
-	return Decision{Action: Forward, Reason: reason, Token: target.Token, ID: target.ID, Target: target.Address}
+	return Decision{Action: Forward, Reason: reason, Token: target.Token, ID: target.ID, Target: target.Address, Capacity: target.Capacity}
 }
 
 // open chooses a target for an opening packet. Copies go to another choice: the
 // former one did not answer in time.
 func (table *Table) open(segment Segment, route route, now time.Time) Decision {
 	hash := flowHash(segment)
-	service, found := route.choose(hash)
+	name, found := route.choose(hash)
 	if !found {
 		return Decision{Reason: ReasonNoTarget}
 	}
-	var choices choices
-	table.rank(service, hash, now, &choices)
-	if choices.count == 0 {
+	service := table.services[name]
+	if service == nil {
 		return Decision{Reason: ReasonNoTarget}
 	}
+	var choices choices
+	service.rank(hash, now, table.options, &choices)
 	choices.leastBusyFirst(table.options)
 	chosen, former := choices.pick(segment)
+	open, serving := table.loadOf(chosen)
+	expected := chosen.expected(open, serving, route.objective)
+	congested := service.congestion.observe(open >= chosen.slots(), now)
+	if congested && open >= chosen.slots() && table.exceeds(expected, route) {
+		return Decision{Action: Reset, Reason: ReasonOverloaded, ID: chosen.ID, Open: open, Expected: expected}
+	}
 	decision := forwardTo(chosen, ReasonChosen)
-	decision.Open = table.openAt(chosen)
+	decision.Open = open
+	decision.Expected = expected
 	if former != 0 && former != chosen.Token && now.Sub(table.servingSince) > copiesSpan {
 		decision.Suspect = former
 	}
 	return decision
 }
 
-func (table *Table) openAt(target *record) int {
+func (table *Table) loadOf(target *record) (open int, serving time.Duration) {
 	if table.options.Loads == nil {
-		return 0
+		return 0, 0
+	}
+	return table.options.Loads.Load(target.Token)
+}
+
+// assumedParts is the part of a route's objective that a request is assumed to
+// take on an idle target while nobody knows better.
+const assumedParts = 4
+
+// rankShare is the part of AdmitShare that is left for routes of the next lower
+// priority, so that they are refused first.
+const rankShare = 0.8
+
+// slots is the number of requests that the target works on at once, one at the
+// least.
+func (target *record) slots() int { return max(target.Capacity, 1) }
+
+// expected returns how long a further request would take at the target: serving
+// is the time on an idle one, zero when it is not known.
+func (target *record) expected(open int, serving, objective time.Duration) time.Duration {
+	if serving == 0 {
+		serving = objective / assumedParts
 	}
-	return table.options.Loads.Open(target.Token)
+	crowd := max(float64(open+1)/float64(target.slots()), 1)
+	return time.Duration(crowd * float64(serving))
+}
+
+// exceeds tells whether a request that takes as long would miss the share of the
+// route's objective that is allowed.
+func (table *Table) exceeds(expected time.Duration, route route) bool {
+	if route.objective == 0 || table.options.AdmitShare == 0 {
+		return false
+	}
+	share := table.options.AdmitShare * math.Pow(rankShare, float64(route.rank))
+	return float64(expected) > share*float64(route.objective)
 }
 
 // choose picks the part of the pool by weight.
@@ -174,7 +214,8 @@
 	var pressures [choicesKept]float64
 	for index := range candidates {
 		target := choices.targets[index]
-		pressure := target.pressure(options.Loads.Open(target.Token))
+		open, _ := options.Loads.Load(target.Token)
+		pressure := target.pressure(open)
 		position := index
 		for position > 0 && pressures[position-1] > pressure {
 			choices.targets[position] = choices.targets[position-1]
@@ -192,7 +233,7 @@
 
 // pressure is the number of open requests by capacity.
 func (target *record) pressure(open int) float64 {
-	return max(float64(open)/float64(max(target.Capacity, 1)), relaxedPressure)
+	return max(float64(open)/float64(target.slots()), relaxedPressure)
 }
 
 // pick returns the target for the opening packet, and the token of the one that
@@ -217,32 +258,33 @@
 	return choices.targets[0], segment.Former
 }
 
-// rank fills choices with the best targets of the service for the hash, by
-// weighted rendezvous hashing. Targets that are just learned or avoided are left
-// out while others are there.
-func (table *Table) rank(service string, hash uint64, now time.Time, choices *choices) {
-	targets := table.services[service]
-	table.rankUsable(targets, hash, now, choices, false)
-	if choices.count == 0 {
-		table.rankUsable(targets, hash, now, choices, true)
+// rank fills choices with the best targets for the hash, by weighted rendezvous
+// hashing. Targets that are just learned or avoided are left out while others are
+// there.
+func (service *service) rank(hash uint64, now time.Time, options Options, choices *choices) {
+	for _, target := range service.targets {
+		if target.usable(now) {
+			choices.add(target, target.score(hash, now, options))
+		}
+	}
+	if choices.count > 0 {
+		return
+	}
+	for _, target := range service.targets {
+		choices.add(target, target.score(hash, now, options))
 	}
 }
 
-func (table *Table) rankUsable(targets []*record, hash uint64, now time.Time, choices *choices, all bool) {
-	for _, target := range targets {
-		if !all && (target.Aside || now.Before(target.usableAt) || now.Before(target.avoidUntil)) {
-			continue
-		}
-		choices.add(target, table.score(target, hash, now))
-	}
+func (target *record) usable(now time.Time) bool {
+	return !target.Aside && !now.Before(target.usableAt) && !now.Before(target.avoidUntil)
 }
 
 // score is the target's place in weighted rendezvous hashing: the target with
 // the highest score is chosen with a probability in proportion to its weight.
-func (table *Table) score(target *record, hash uint64, now time.Time) float64 {
-	weight := float64(max(target.Capacity, 1))
+func (target *record) score(hash uint64, now time.Time, options Options) float64 {
+	weight := float64(target.slots())
 	if target.near {
-		weight *= table.options.NearWeight
+		weight *= options.NearWeight
 	}
 	if now.Before(target.warmAt) {
 		weight *= coldWeight
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -80,12 +80,15 @@
 	ReasonTargetFailed
 	// ReasonMissingToken: a packet of an open flow carries no token.
 	ReasonMissingToken
+	// ReasonOverloaded: the targets have more to do than the route's objective
+	// allows.
+	ReasonOverloaded
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"chosen", "owner", "no_table", "no_route", "no_route_stale", "no_target",
-	"unknown_token", "target_failed", "missing_token",
+	"unknown_token", "target_failed", "missing_token", "overloaded",
 }
 
 // String returns the reason's stable name.
@@ -113,12 +116,16 @@
 	Token  directory.Token
 	ID     directory.TargetID
 	Target netip.AddrPort
+	// Capacity is the number of requests that the target works on at once.
+	Capacity int
 	// Suspect is the token of the target that did not answer the former copy
 	// of this opening packet, or zero.
 	Suspect directory.Token
-	// Open is the number of requests that were open at the target, as far as
-	// was known; set with ReasonChosen.
-	Open int
+	// Open is the number of requests that were open at the chosen target, as far
+	// as was known, and Expected how long a further one would take there; set
+	// with ReasonChosen and ReasonOverloaded. ID is set with both.
+	Open     int
+	Expected time.Duration
 	// Revision, Version and ConfirmedAgo tell the table that decided: its
 	// revision, its declared version, and how long ago a member confirmed it.
 	// They are not set for packets that reach their owner.
--- a/internal/direct/steer/steer_test.go
+++ b/internal/direct/steer/steer_test.go
@@ -20,6 +20,9 @@
 	noRoute   = netip.MustParseAddrPort("198.18.0.9:443")
 )
 
+// feedRouteAt returns the address of a route at another port.
+func feedRouteAt(port int) netip.AddrPort { return netip.AddrPortFrom(feedRoute.Addr(), uint16(port)) }
+
 func entry(token directory.Token, service string, state directory.TargetState) directory.TargetEntry {
 	return directory.TargetEntry{
 		Token: token, ID: directory.TargetID(token) + 1000, Service: service, Capacity: 2, State: state,
@@ -128,8 +131,8 @@
 // loads has the open requests of targets.
 type loads map[directory.Token]int
 
-// Open implements Loads.
-func (loads loads) Open(token directory.Token) int { return loads[token] }
+// Load implements Loads.
+func (loads loads) Load(token directory.Token) (int, time.Duration) { return loads[token], 0 }
 
 // loadedTable returns a table of count targets of capacity two that chooses
 // among candidates by their load.
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -31,6 +31,10 @@
 	// Candidates is the number of targets, best by hash, among which the least
 	// busy one is chosen for a new flow; one chooses by hash alone.
 	Candidates int
+	// AdmitShare is the share of its route's objective that a new flow's request
+	// may be expected to take at the chosen target; else the flow has to wait or
+	// is refused. Zero admits all.
+	AdmitShare float64
 	// Loads tells how busy targets are; nil when nobody knows.
 	Loads Loads
 }
@@ -38,8 +42,9 @@
 // Loads tells how busy targets are, as far as is known. It may be called from
 // any goroutine.
 type Loads interface {
-	// Open returns the number of requests that are open at the target.
-	Open(token directory.Token) int
+	// Load returns the number of requests that are open at the target, and how
+	// long it takes with one when it is idle; zero when that is not known.
+	Load(token directory.Token) (open int, serving time.Duration)
 }
 
 // DefaultOptions returns the bounds of processes.
@@ -50,6 +55,7 @@
 		AvoidFor:   3 * time.Second,
 		NearWeight: 4,
 		Candidates: 3,
+		AdmitShare: 0.6,
 	}
 }
 
@@ -71,6 +77,28 @@
 type route struct {
 	parts []declared.PoolPart
 	total int
+	// objective is the latency that operators aim at; zero for none.
+	objective time.Duration
+	priority  int
+	// rank is the number of different priorities of other routes that go before.
+	rank int
+}
+
+// service has the targets of a service that may take new flows.
+type service struct {
+	targets []*record
+	// capacity is the sum of the targets' capacities.
+	capacity   int
+	congestion *congestion
+}
+
+// newService returns a service without targets that goes on from former, which
+// may be nil.
+func newService(former *service) *service {
+	if former != nil {
+		return &service{congestion: former.congestion}
+	}
+	return &service{congestion: &congestion{}}
 }
 
 // Table is a balancer's copy of the directory. All methods may be called at
@@ -87,9 +115,8 @@
 	idleTimeout  time.Duration
 	routes       map[netip.AddrPort]route
 	targets      map[directory.Token]*record
-	// services has the targets that may take new flows, by service.
-	services map[string][]*record
-	changes  board.Notifier
+	services     map[string]*service
+	changes      board.Notifier
 	// confirmations gives notice that confirmedAt moved.
 	confirmations board.Notifier
 }
@@ -100,7 +127,7 @@
 		options:  options,
 		routes:   make(map[netip.AddrPort]route),
 		targets:  make(map[directory.Token]*record),
-		services: make(map[string][]*record),
+		services: make(map[string]*service),
 	}
 }
 
@@ -178,6 +205,7 @@
 	table.version = changes.Version
 	table.idleTimeout = changes.IdleTimeout
 	table.rebuildServices()
+	table.rankRoutes()
 	table.changes.Notify()
 	return true
 }
@@ -227,7 +255,7 @@
 
 func (table *Table) mergeRoutes(entries []directory.RouteEntry) {
 	for _, entry := range entries {
-		added := route{parts: entry.Pool}
+		added := route{parts: entry.Pool, objective: entry.Objective, priority: entry.Priority}
 		for _, part := range entry.Pool {
 			added.total += part.Weight
 		}
@@ -257,22 +285,45 @@
 }
 
 func (table *Table) rebuildServices() {
-	services := make(map[string][]*record)
+	services := make(map[string]*service)
 	for _, target := range table.targets {
-		if target.State == directory.TargetReady {
-			services[target.Service] = append(services[target.Service], target)
+		if target.State != directory.TargetReady {
+			continue
 		}
+		built := services[target.Service]
+		if built == nil {
+			built = newService(table.services[target.Service])
+			services[target.Service] = built
+		}
+		built.targets = append(built.targets, target)
+		built.capacity += target.Capacity
 	}
 	table.services = services
 }
 
+// rankRoutes orders routes by their priorities.
+func (table *Table) rankRoutes() {
+	var priorities []int
+	for _, route := range table.routes {
+		priorities = append(priorities, route.priority)
+	}
+	slices.Sort(priorities)
+	priorities = slices.Compact(priorities)
+	for address, route := range table.routes {
+		route.rank, _ = slices.BinarySearch(priorities, route.priority)
+		table.routes[address] = route
+	}
+}
+
 // Everything returns the whole table as changes for a reader without one.
 func (table *Table) Everything() directory.Changes {
 	table.lock.RLock()
 	defer table.lock.RUnlock()
 	whole := directory.Changes{Whole: true, To: table.revision, Version: table.version, IdleTimeout: table.idleTimeout}
 	for address, route := range table.routes {
-		whole.Routes = append(whole.Routes, directory.RouteEntry{Address: address, Pool: route.parts})
+		whole.Routes = append(whole.Routes, directory.RouteEntry{
+			Address: address, Pool: route.parts, Objective: route.objective, Priority: route.priority,
+		})
 	}
 	for _, target := range table.targets {
 		whole.Targets = append(whole.Targets, target.TargetEntry)
@@ -282,6 +333,21 @@
 	return whole
 }
 
+// ServiceCapacity returns the service of the target with the token, and the
+// capacity of all its ready targets together.
+func (table *Table) ServiceCapacity(token directory.Token) (service string, capacity int) {
+	table.lock.RLock()
+	defer table.lock.RUnlock()
+	target, known := table.targets[token]
+	if !known {
+		return "", 0
+	}
+	if known := table.services[target.Service]; known != nil {
+		capacity = known.capacity
+	}
+	return target.Service, capacity
+}
+
 // Lookup returns the target with the token.
 func (table *Table) Lookup(token directory.Token) (directory.TargetEntry, bool) {
 	table.lock.RLock()
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -23,14 +23,18 @@
 	Message string    `json:"message"`
 	Node    string    `json:"node"`
 
-	Caller   string `json:"caller"`
-	Route    string `json:"route"`
-	Reason   string `json:"reason"`
-	Opening  bool   `json:"opening"`
-	Attempt  int    `json:"attempt"`
-	Token    uint64 `json:"token"`
-	Target   uint64 `json:"target"`
-	Suspect  uint64 `json:"suspect"`
+	Caller  string `json:"caller"`
+	Route   string `json:"route"`
+	Reason  string `json:"reason"`
+	Opening bool   `json:"opening"`
+	Attempt int    `json:"attempt"`
+	Token   uint64 `json:"token"`
+	Target  uint64 `json:"target"`
+	Suspect uint64 `json:"suspect"`
+	// Open is the number of requests that were open at the chosen target, and
+	// Expected how long a further one would take there.
+	Open     int    `json:"open"`
+	Expected string `json:"expected"`
 	Revision uint64 `json:"revision"`
 	Version  uint64 `json:"version"`
 	// ConfirmedAgo is how old the balancer's table may have been.
@@ -246,7 +250,8 @@
 	text := fmt.Sprintf("%s: %s to %s; reason %s; table revision %d, version %d, %s",
 		line.Message, kind, line.Route, line.Reason, line.Revision, line.Version, confirmed)
 	if line.Target != 0 {
-		text += fmt.Sprintf("; target %x, token %d", line.Target, line.Token)
+		text += fmt.Sprintf("; target %x, token %d, %d requests open there, answer expected after %s",
+			line.Target, line.Token, line.Open, line.Expected)
 	}
 	if line.Suspect != 0 {
 		text += fmt.Sprintf("; the target with token %d had not answered", line.Suspect)
@@ -273,6 +278,9 @@
 	switch {
 	case last.Message == messageReset && last.Reason == "target_failed":
 		return "The flow was reset because its target was found dead. " + story.failure(lines)
+	case last.Message == messageReset && last.Reason == "overloaded":
+		return fmt.Sprintf("The flow was refused before it opened: its service had no idle target for long, and the least busy one, "+
+			"target %x, had %d open requests, so an answer was expected after %s only.", last.Target, last.Open, last.Expected)
 	case last.Message == messageReset:
 		return fmt.Sprintf("The flow was reset: no route has the address %s in version %d.", last.Route, last.Version)
 	case last.Message == messageDropped:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -48,6 +48,9 @@
 		{"no route", []string{
 			line("01", "b1", "flow reset", `,"caller":"`+flow+`","route":"198.18.0.9:1","reason":"no_route","opening":true,"version":4`),
 		}, "no route has the address 198.18.0.9:1 in version 4", 1},
+		{"overloaded", []string{
+			line("01", "b1", "flow reset", `,"caller":"`+flow+`","route":"198.18.0.1:1","reason":"overloaded","opening":true,"target":70,"open":9,"expected":"150ms"`),
+		}, "target 46, had 9 open requests, so an answer was expected after 150ms only", 1},
 		{"second choice", []string{
 			line("01", "b1", "flow opened", opened),
 			line("02", "b1", "flow opened", strings.Replace(strings.Replace(opened, `"attempt":0`, `"attempt":1`, 1), `"token":7,"target":70`, `"token":8,"target":80,"suspect":7`, 1)),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,6 +63,10 @@
 	// LoadCandidates is the number of targets among which a balancer gives a
 	// new flow to the least busy one; one chooses by hash alone.
 	LoadCandidates int `koanf:"load_candidates" validate:"min=1,max=8"`
+	// LoadAdmission is the share of its route's objective that the first request
+	// of a new flow may be expected to take; a flow that would take longer waits
+	// for room and is refused then. Zero admits all flows.
+	LoadAdmission float64 `koanf:"load_admission" validate:"min=0,max=10"`
 	// LoadInterval is the least time between two reports of a balancer's open
 	// requests to other balancers; zero shares none.
 	LoadInterval time.Duration `koanf:"load_interval" validate:"min=0,max=1000000000"`
@@ -340,6 +344,7 @@
 			Followers:         64,
 			PeerFollowers:     16,
 			LoadCandidates:    3,
+			LoadAdmission:     0.6,
 			LoadInterval:      100 * time.Millisecond,
 			RenewalsPerSecond: 40,
 			ToleratedLosses:   1,
--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -82,7 +82,8 @@
 	balancer.subscriber = subscriber
 	tracker := outcome.NewTracker(mailbox, subscriber.Following)
 	balancer.watcher = requests.NewWatcher(tracker, book)
-	exchange := load.NewExchange(load.Options{Interval: loadInterval}, book, mailbox, dispatcher, noConnector{}, subscriber.Neighbours)
+	sharing := load.Options{Interval: loadInterval, Neighbours: subscriber.Neighbours, Capacities: balancer.table}
+	exchange := load.NewExchange(sharing, book, mailbox, dispatcher, noConnector{})
 	balancer.suspects = forwarder.NewSuspects(balancer.table, balancer.world.prober(balancer.process), mailbox, subscriber.Following, zap.NewNop())
 	return kernel.Program{
 		Mailbox:     mailbox,
@@ -128,7 +129,7 @@
 	}
 	switch decision.Action {
 	case steer.Forward:
-		target := requests.Target{Token: decision.Token, ID: decision.ID}
+		target := requests.Target{Token: decision.Token, ID: decision.ID, Capacity: decision.Capacity}
 		if segment.Opening {
 			balancer.watcher.Placed(segment, target, now)
 		} else {
