Send load reports as datagrams, and dial quickly after an outage

Reports are small, soon outdated and repeated, so they go as UDP datagrams from the control address now (direct/load/datagram, one gob stream each); where processes have keys they stay on links, which prove the sender. Reports and the sums behind them reuse their memory.

--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -58,7 +58,7 @@
 		fx.Supply(model.RoleBalancer),
 		transport.ModuleWith(transport.QuickTiming()),
 		fx.Provide(newTable, provideSubscriber, provideReplica, providePublisher, provideReports, provideRelay, provideTracker,
-			load.NewBook, provideWatcher, provideExchange, newConnections, provideSuspects, provideForwarder, newMetrics, newObserver),
+			load.NewBook, provideWatcher, provideSharing, newConnections, provideSuspects, provideForwarder, newMetrics, newObserver),
 		fx.Provide(newChangeListeners),
 		fx.Invoke(reportChanges, run),
 	)
@@ -149,11 +149,6 @@
 	return requests.NewWatcher(tracker, book)
 }
 
-func provideExchange(chosen settings.Settings, book *load.Book, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, connections *connections, subscriber *feed.Subscriber, table *steer.Table) *load.Exchange {
-	options := load.Options{Interval: chosen.Direct.LoadInterval, Neighbours: subscriber.Neighbours, Capacities: table}
-	return load.NewExchange(options, book, mailbox, dispatcher, connections)
-}
-
 func provideSuspects(table *steer.Table, mailbox *protocol.Mailbox, subscriber *feed.Subscriber, logger *zap.Logger) *forwarder.Suspects {
 	return forwarder.NewSuspects(table, probe.New(probe.DialTCP), mailbox, subscriber.Following, logger.Named("targets"))
 }
@@ -183,7 +178,7 @@
 	Relay      *renewal.Relay
 	Tracker    *outcome.Tracker
 	Watcher    *requests.Watcher
-	Exchange   *load.Exchange
+	Sharing    sharing
 	Suspects   *forwarder.Suspects
 	Forwarder  *forwarder.Forwarder
 	Reloads    *process.Reloads
@@ -204,7 +199,7 @@
 		board.NewRunner(parts.Reports, time.Second, parts.Reports.Sources()...),
 		board.NewRunner(parts.Tracker, outcomesInterval),
 		board.NewRunner(parts.Watcher, requestsInterval),
-		board.NewRunner(parts.Exchange, loadInterval),
+		board.NewRunner(parts.Sharing.exchange, loadInterval),
 		board.NewRunner(parts.Relay, renewalsInterval),
 		board.NewRunner(parts.Suspects, suspectsInterval, parts.Suspects.Sources()...),
 	}
@@ -213,6 +208,7 @@
 			parts.Tasks.Go("forwarder", parts.Forwarder.Run)
 			parts.Tasks.Go("parked packets", parts.Forwarder.Release)
 			parts.Tasks.Go("egress", parts.Forwarder.Drain)
+			parts.Tasks.Go("load reports", parts.Sharing.run)
 			for _, runner := range runners {
 				parts.Tasks.Go("controller", func(ctx context.Context) error {
 					runner.Run(ctx)
--- /dev/null
+++ b/internal/direct/load/datagram/socket_test.go
@@ -0,0 +1,71 @@
+package datagram
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"merlinpaddle/internal/direct/load"
+	"merlinpaddle/internal/faults"
+	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/protocol"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// conditionTimeout bounds waits for a condition; it is no measure of speed.
+const conditionTimeout = 20 * time.Second
+
+func listen(t *testing.T) *Socket {
+	t.Helper()
+	socket, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- socket.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-ended)
+	})
+	return socket
+}
+
+func nameOf(socket *Socket) model.NodeName { return model.NodeName(socket.Address().String()) }
+
+func TestReportsReachTheirNodes(t *testing.T) {
+	one, other := listen(t), listen(t)
+	sent := load.Report{Entries: []load.Entry{{Token: 7, Open: 3}, {Token: 9, Open: 1}}, Wanted: true}
+	one.Tell([]model.NodeName{"no address", nameOf(other)}, sent)
+	var received []protocol.Envelope
+	require.Eventually(t, func() bool {
+		received = append(received, other.Reports().Drain()...)
+		return len(received) > 0
+	}, conditionTimeout, time.Millisecond)
+	require.Equal(t, []protocol.Envelope{{From: nameOf(one), Message: sent}}, received)
+}
+
+func TestWhatIsNoReportIsDropped(t *testing.T) {
+	one, other := listen(t), listen(t)
+	stranger, err := net.Dial("udp4", other.Address().String())
+	require.NoError(t, err)
+	defer stranger.Close()
+	for _, content := range [][]byte{{}, {1}, []byte("no report at all"), make([]byte, maximumReport)} {
+		_, err := stranger.Write(content)
+		require.NoError(t, err)
+	}
+	one.Tell([]model.NodeName{nameOf(other)}, load.Report{Wanted: true})
+	require.Eventually(t, func() bool { return other.Reports().Length() > 0 }, conditionTimeout, time.Millisecond)
+	require.Len(t, other.Reports().Drain(), 1)
+}
+
+func TestAddressInUseIsSaid(t *testing.T) {
+	taken := listen(t)
+	_, err := Listen(taken.Address().String())
+	require.Equal(t, faults.PacketSocket, faults.CodeOf(err))
+	_, err = Listen("no address")
+	require.Equal(t, faults.PacketSocket, faults.CodeOf(err))
+}
--- a/internal/direct/load/exchange.go
+++ b/internal/direct/load/exchange.go
@@ -40,12 +40,11 @@
 	forgetInterval = 10 * time.Second
 )
 
-// Connector makes and closes connections to other balancers.
-type Connector interface {
-	// Connect keeps a connection to the node from now on.
-	Connect(node model.NodeName)
-	// Disconnect gives up the connection.
-	Disconnect(node model.NodeName)
+// Outlet sends reports to other balancers. Reports may be lost.
+type Outlet interface {
+	// Tell sends the report to the nodes. It must return at once, and keep
+	// nothing of the report.
+	Tell(nodes []model.NodeName, report Report)
 }
 
 // Capacities tells what services can bear.
@@ -60,7 +59,7 @@
 	// Interval is the least time between two reports; zero tells nobody and
 	// hears nobody.
 	Interval time.Duration
-	// Neighbours returns the balancers to tell; it may be called at any time.
+	// Neighbours returns the balancers to tell.
 	Neighbours func() []model.NodeName
 	// Capacities is asked for the capacity of services.
 	Capacities Capacities
@@ -75,30 +74,27 @@
 // Exchange is the controller that tells other balancers of this one's open
 // requests, and takes theirs into the book.
 type Exchange struct {
-	options   Options
-	book      *Book
-	mailbox   *protocol.Mailbox
-	reports   *board.Queue[protocol.Envelope]
-	connector Connector
-	demand    demand
-	// connected are the balancers that are told now, sorted.
-	connected []model.NodeName
-	heard     map[model.NodeName]*heard
-	// told is the last report that was sent, at toldAt.
+	options Options
+	book    *Book
+	outlet  Outlet
+	// reports has the envelopes with reports of other balancers.
+	reports *board.Queue[protocol.Envelope]
+	demand  demand
+	heard   map[model.NodeName]*heard
+	// entries are this balancer's open requests, and told those that were sent
+	// last, at toldAt. Their memory is used again, so that looking costs none.
+	entries     []Entry
 	told        []Entry
+	openBy      map[string]int
 	toldAt      time.Time
 	forgottenAt time.Time
 }
 
-// NewExchange returns the controller.
-func NewExchange(options Options, book *Book, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, connector Connector) *Exchange {
+// NewExchange returns the controller that takes reports from a queue.
+func NewExchange(options Options, book *Book, outlet Outlet, reports *board.Queue[protocol.Envelope]) *Exchange {
 	return &Exchange{
-		options:   options,
-		book:      book,
-		mailbox:   mailbox,
-		reports:   dispatcher.Handle(Report{}),
-		connector: connector,
-		heard:     make(map[model.NodeName]*heard),
+		options: options, book: book, outlet: outlet, reports: reports,
+		heard: make(map[model.NodeName]*heard), openBy: make(map[string]int),
 	}
 }
 
@@ -117,35 +113,27 @@
 	}
 	for _, envelope := range envelopes {
 		report, _ := envelope.Message.(Report)
-		exchange.take(envelope.From, report.Entries, now)
+		exchange.take(envelope.From, sound(report.Entries), now)
 		if report.Wanted {
 			exchange.demand.heardAt = now
 		}
 	}
 	exchange.dropSilent(now)
 	neighbours := exchange.options.Neighbours()
-	entries := exchange.ownEntries()
-	exchange.demand.observe(exchange.utilization(entries, len(neighbours)+1), now)
-	if !exchange.demand.high(now) {
-		neighbours = nil
+	exchange.entries = exchange.book.appendOwn(exchange.entries[:0])
+	exchange.demand.observe(exchange.utilization(len(neighbours)+1), now)
+	if exchange.demand.high(now) {
+		exchange.tell(neighbours, now)
 	}
-	exchange.connect(neighbours)
-	exchange.tell(entries, now)
-}
-
-// ownEntries returns this balancer's open requests, by the order of tokens.
-func (exchange *Exchange) ownEntries() []Entry {
-	entries := exchange.book.appendOwn(nil)
-	slices.SortFunc(entries, func(left, right Entry) int { return cmp.Compare(left.Token, right.Token) })
-	return entries
 }
 
 // utilization estimates the open requests of the busiest service by its
 // capacity, as if all balancers had as many as this one.
-func (exchange *Exchange) utilization(entries []Entry, balancers int) float64 {
-	open := make(map[string]int)
+func (exchange *Exchange) utilization(balancers int) float64 {
+	open := exchange.openBy
+	clear(open)
 	highest := 0.0
-	for _, entry := range entries {
+	for _, entry := range exchange.entries {
 		service, capacity := exchange.options.Capacities.ServiceCapacity(entry.Token)
 		if capacity == 0 {
 			continue
@@ -168,6 +156,16 @@
 	known.at = now
 }
 
+// maximumOpen is the largest count that is believed.
+const maximumOpen = 1 << 20
+
+// sound returns the entries that another balancer can mean.
+func sound(entries []Entry) []Entry {
+	return slices.DeleteFunc(entries, func(entry Entry) bool {
+		return entry.Token == 0 || entry.Open <= 0 || entry.Open > maximumOpen
+	})
+}
+
 // replace takes former counts out of the book and puts new ones in.
 func (exchange *Exchange) replace(former, entries []Entry) {
 	for _, entry := range entries {
@@ -188,41 +186,19 @@
 	}
 }
 
-// connect keeps connections to the balancers that are told. Of two balancers
-// that tell each other, the one with the lower name connects.
-func (exchange *Exchange) connect(neighbours []model.NodeName) {
-	if slices.Equal(neighbours, exchange.connected) {
-		return
-	}
-	for _, name := range exchange.connected {
-		if exchange.dials(name) && !slices.Contains(neighbours, name) {
-			exchange.connector.Disconnect(name)
-		}
-	}
-	for _, name := range neighbours {
-		if exchange.dials(name) && !slices.Contains(exchange.connected, name) {
-			exchange.connector.Connect(name)
-		}
-	}
-	exchange.connected = slices.Clone(neighbours)
-}
-
-func (exchange *Exchange) dials(name model.NodeName) bool { return exchange.mailbox.Self < name }
-
 // tell sends the open requests when they changed, and now and then else.
-func (exchange *Exchange) tell(entries []Entry, now time.Time) {
-	pause := max(exchange.options.Interval, pauseEach*time.Duration(len(exchange.connected)))
+func (exchange *Exchange) tell(neighbours []model.NodeName, now time.Time) {
+	pause := max(exchange.options.Interval, pauseEach*time.Duration(len(neighbours)))
 	since := now.Sub(exchange.toldAt)
-	if since < pause || len(exchange.connected) == 0 {
+	if since < pause || len(neighbours) == 0 {
 		return
 	}
-	same := slices.Equal(entries, exchange.told)
-	if same && (since < keepaliveInterval || len(entries) == 0) {
+	slices.SortFunc(exchange.entries, func(left, right Entry) int { return cmp.Compare(left.Token, right.Token) })
+	same := slices.Equal(exchange.entries, exchange.told)
+	if same && (since < keepaliveInterval || len(exchange.entries) == 0) {
 		return
 	}
-	exchange.told = entries
+	exchange.told, exchange.entries = exchange.entries, exchange.told
 	exchange.toldAt = now
-	for _, name := range exchange.connected {
-		exchange.mailbox.Send(name, Report{Entries: entries, Wanted: exchange.demand.found(now)})
-	}
+	exchange.outlet.Tell(neighbours, Report{Entries: exchange.told, Wanted: exchange.demand.found(now)})
 }
--- /dev/null
+++ b/internal/direct/load/links.go
@@ -0,0 +1,61 @@
+package load
+
+import (
+	"slices"
+
+	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/protocol"
+)
+
+// Connector makes and closes connections to other balancers.
+type Connector interface {
+	// Connect keeps a connection to the node from now on.
+	Connect(node model.NodeName)
+	// Disconnect gives up the connection.
+	Disconnect(node model.NodeName)
+}
+
+// LinkOutlet sends reports over the links between processes, which prove who
+// sends. It is for one goroutine.
+type LinkOutlet struct {
+	mailbox   *protocol.Mailbox
+	connector Connector
+	// connected are the nodes that were told last.
+	connected []model.NodeName
+}
+
+var _ Outlet = (*LinkOutlet)(nil)
+
+// NewLinkOutlet returns an outlet that makes its connections by connector.
+func NewLinkOutlet(mailbox *protocol.Mailbox, connector Connector) *LinkOutlet {
+	return &LinkOutlet{mailbox: mailbox, connector: connector}
+}
+
+// Tell implements Outlet.
+func (outlet *LinkOutlet) Tell(nodes []model.NodeName, report Report) {
+	if !slices.Equal(nodes, outlet.connected) {
+		outlet.connect(nodes)
+	}
+	report.Entries = slices.Clone(report.Entries)
+	for _, node := range nodes {
+		outlet.mailbox.Send(node, report)
+	}
+}
+
+// connect keeps connections to the nodes. Of two nodes that tell each other, the
+// one with the lower name connects.
+func (outlet *LinkOutlet) connect(nodes []model.NodeName) {
+	for _, node := range outlet.connected {
+		if outlet.dials(node) && !slices.Contains(nodes, node) {
+			outlet.connector.Disconnect(node)
+		}
+	}
+	for _, node := range nodes {
+		if outlet.dials(node) && !slices.Contains(outlet.connected, node) {
+			outlet.connector.Connect(node)
+		}
+	}
+	outlet.connected = slices.Clone(nodes)
+}
+
+func (outlet *LinkOutlet) dials(node model.NodeName) bool { return outlet.mailbox.Self < node }
--- a/internal/transport/links.go
+++ b/internal/transport/links.go
@@ -58,13 +58,13 @@
 // cut and its end within a second.
 func QuickTiming() Timing {
 	return Timing{
-		ConnectTimeout:      400 * time.Millisecond,
+		ConnectTimeout:      150 * time.Millisecond,
 		FirstConnectTimeout: 60 * time.Millisecond,
 		Keepalive:           250 * time.Millisecond,
 		ReadTimeout:         900 * time.Millisecond,
 		WriteTimeout:        900 * time.Millisecond,
 		BackoffLeast:        20 * time.Millisecond,
-		BackoffMost:         150 * time.Millisecond,
+		BackoffMost:         40 * time.Millisecond,
 	}
 }
 
