Use counts of requests only where flows come whole; simulate targets that take time

Found by simulation, before any deployment: with routers that spray the packets of one flow over balancers, one balancer sees a request and another one the acknowledgement of its answer. Ruled out: the congestion test and the serving time by themselves; with packets of a flow at one balancer nothing was refused.

Change: - requests.Continuity: numbers of data without gaps tell that a balancer gets its flows whole. Without that, or when a third of the requests go unanswered, counts are neither used nor told: the choice is by hash and nothing is refused. - Outcomes are not reported then either.

--- a/internal/checker/violation.go
+++ b/internal/checker/violation.go
@@ -53,6 +53,9 @@
 	InvariantOneLeader Invariant = "one-leader"
 	// InvariantLinearizable: operators' histories have a sequential order.
 	InvariantLinearizable Invariant = "linearizable"
+	// InvariantTimely: under load, enough of what is asked is answered within
+	// its objective, and callers' tries do not multiply at the targets.
+	InvariantTimely Invariant = "timely"
 	// InvariantNoPanic: no controller panics.
 	InvariantNoPanic Invariant = "no-panic"
 	// InvariantProgress: the run did what its scenario is about. It keeps a
@@ -69,7 +72,7 @@
 		InvariantInForce, InvariantNoRevert, InvariantSameConfiguration,
 		InvariantCommittedKept, InvariantOneWinner, InvariantAppliedOnce,
 		InvariantReplicasAgree, InvariantOneLeader, InvariantLinearizable,
-		InvariantNoPanic, InvariantProgress,
+		InvariantTimely, InvariantNoPanic, InvariantProgress,
 	}
 }
 
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"time"
 
+	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/egress"
 	"merlinpaddle/internal/direct/requests"
 	"merlinpaddle/internal/direct/steer"
@@ -52,9 +53,9 @@
 type Requests interface {
 	// Placed takes in that an opening packet was sent on to target.
 	Placed(segment steer.Segment, target requests.Target, now time.Time)
-	// Former returns the target that the last opening packet of the segment's
-	// flow was sent on to, if that is known.
-	Former(segment steer.Segment) (requests.Target, bool)
+	// Tried returns the targets that the last opening packets of the segment's
+	// flow were sent on to, the latest first, as far as that is known.
+	Tried(segment steer.Segment) [steer.TriesKnown]directory.Token
 	// Note takes in a packet that was sent on to the target of its flow.
 	Note(segment steer.Segment, target requests.Target, now time.Time)
 }
@@ -149,8 +150,7 @@
 func (forwarder *Forwarder) decide(buffer []byte, headroom int, segment steer.Segment, now time.Time) {
 	packet := buffer[headroom:]
 	if segment.Opening && segment.Attempt > 0 {
-		former, _ := forwarder.requests.Former(segment)
-		segment.Former = former.Token
+		segment.Tried = forwarder.requests.Tried(segment)
 	}
 	decision := forwarder.table.Decide(segment, now)
 	if worthParking(decision.Reason) {
--- a/internal/direct/forwarder/forwarder_test.go
+++ b/internal/direct/forwarder/forwarder_test.go
@@ -96,9 +96,9 @@
 // Placed implements Requests.
 func (counter *counter) Placed(steer.Segment, requests.Target, time.Time) {}
 
-// Former implements Requests.
-func (counter *counter) Former(steer.Segment) (requests.Target, bool) {
-	return requests.Target{}, false
+// Tried implements Requests.
+func (counter *counter) Tried(steer.Segment) [steer.TriesKnown]directory.Token {
+	return [steer.TriesKnown]directory.Token{}
 }
 
 // Note implements Requests.
--- a/internal/direct/load/book.go
+++ b/internal/direct/load/book.go
@@ -41,6 +41,7 @@
 // is a requests.Listener.
 type Book struct {
 	shards [shardCount]shard
+	trust  trust
 }
 
 var _ requests.Listener = (*Book)(nil)
@@ -76,6 +77,9 @@
 
 // Ended implements requests.Listener.
 func (book *Book) Ended(target requests.Target, ending requests.Ending, took time.Duration) {
+	if ending != requests.Withdrawn {
+		book.trust.noteRequest(ending == requests.Answered)
+	}
 	shard := book.shard(target.Token)
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
@@ -89,6 +93,9 @@
 	known.own--
 }
 
+// Continued implements requests.Listener.
+func (book *Book) Continued(whole bool) { book.trust.flows.Note(whole) }
+
 // servingWeight is the weight of one more answer in the average serving time.
 const servingWeight = 0.1
 
@@ -113,7 +120,11 @@
 
 // Load returns the number of requests that are open at the target, and how long
 // it takes with one when it is idle, as far as is known; zero when it is not.
+// Nothing is known while this balancer does not see its flows whole.
 func (book *Book) Load(token directory.Token) (open int, serving time.Duration) {
+	if !book.trust.holds() {
+		return 0, 0
+	}
 	shard := book.shard(token)
 	shard.lock.RLock()
 	defer shard.lock.RUnlock()
@@ -124,8 +135,12 @@
 	return known.own + known.others, time.Duration(known.serving)
 }
 
-// appendOwn appends this balancer's counts that are not zero, in no order.
+// appendOwn appends this balancer's counts that are not zero, in no order. It has
+// none to tell while it does not see its flows whole.
 func (book *Book) appendOwn(entries []Entry) []Entry {
+	if !book.trust.holds() {
+		return entries
+	}
 	for index := range book.shards {
 		shard := &book.shards[index]
 		shard.lock.RLock()
--- a/internal/direct/load/load_test.go
+++ b/internal/direct/load/load_test.go
@@ -193,6 +193,42 @@
 	require.Zero(t, openAt(node, 0))
 }
 
+// TestCountsAreNotUsedWhereFlowsAreSprayed: a balancer that sees requests, and
+// not the acknowledgements of their answers, neither uses nor tells its counts.
+func TestCountsAreNotUsedWhereFlowsAreSprayed(t *testing.T) {
+	one, other := newNode("a", interval, "b"), newNode("b", interval, "a")
+	begin(one, 7, 50)
+	run(start, 3*interval, nil, one, other)
+	require.Equal(t, 50, openAt(other, 7))
+	for range 10 {
+		one.book.Ended(requests.Target{Token: 7}, requests.Unanswered, time.Second)
+	}
+	require.Zero(t, openAt(one, 7))
+	now := run(start.Add(3*interval), 3*interval, nil, one, other)
+	require.Zero(t, openAt(other, 7))
+	end(one, 7, 20)
+	require.Equal(t, 20, openAt(one, 7), "flows that are whole again count again")
+	run(now, 3*interval, nil, one, other)
+	require.Equal(t, 20, openAt(other, 7))
+}
+
+func TestCountsAreNotUsedBehindGaps(t *testing.T) {
+	node := newNode("a", interval, "b")
+	begin(node, 7, 5)
+	for range 100 {
+		node.book.Continued(true)
+	}
+	require.Equal(t, 5, openAt(node, 7))
+	for range 10 {
+		node.book.Continued(false)
+	}
+	require.Zero(t, openAt(node, 7))
+	for range 100 {
+		node.book.Continued(true)
+	}
+	require.Equal(t, 5, openAt(node, 7))
+}
+
 func TestServingTimeIsLearned(t *testing.T) {
 	target := requests.Target{Token: 7, Capacity: 2}
 	answer := func(book *Book, open int, took time.Duration, ending requests.Ending) {
--- a/internal/direct/outcome/tracker.go
+++ b/internal/direct/outcome/tracker.go
@@ -24,10 +24,12 @@
 const reportInterval = 500 * time.Millisecond
 
 // Tracker is the controller that counts answered and unanswered requests of a
-// balancer's flows and reports them. It is a requests.Listener.
+// balancer's flows and reports them, while the balancer sees its flows whole. It
+// is a requests.Listener.
 type Tracker struct {
 	mailbox *protocol.Mailbox
 	follows func() model.NodeName
+	flows   requests.Continuity
 
 	lock   sync.Mutex
 	counts map[directory.TargetID]feed.OutcomeCount
@@ -66,6 +68,9 @@
 	tracker.counts[target.ID] = counted
 }
 
+// Continued implements requests.Listener.
+func (tracker *Tracker) Continued(whole bool) { tracker.flows.Note(whole) }
+
 // Name implements board.Controller.
 func (tracker *Tracker) Name() string { return "outcomes" }
 
@@ -77,7 +82,7 @@
 		return
 	}
 	tracker.toldAt = now
-	if report, worth := tracker.report(); worth {
+	if report, worth := tracker.report(); worth && tracker.flows.Whole() {
 		if node := tracker.follows(); node != "" {
 			tracker.mailbox.Send(node, report)
 		}
--- a/internal/direct/outcome/tracker_test.go
+++ b/internal/direct/outcome/tracker_test.go
@@ -35,3 +35,16 @@
 	tracker.Reconcile(start.Add(3 * reportInterval))
 	require.Empty(t, mailbox.Outbox.Drain(), "each outcome is told once")
 }
+
+// TestSprayedFlowsSayNothing: a balancer that sees parts of its flows takes
+// answered requests for unanswered ones.
+func TestSprayedFlowsSayNothing(t *testing.T) {
+	mailbox := protocol.NewMailbox("balancer")
+	tracker := NewTracker(mailbox, func() model.NodeName { return "member" })
+	for range 20 {
+		tracker.Continued(false)
+	}
+	tracker.Ended(worked, requests.Unanswered, time.Second)
+	tracker.Reconcile(start.Add(reportInterval))
+	require.Empty(t, mailbox.Outbox.Drain())
+}
--- a/internal/direct/requests/watcher.go
+++ b/internal/direct/requests/watcher.go
@@ -29,9 +29,9 @@
 	// is far above the time of a request on a busy target.
 	HangAfter = time.Second
 	// placedFor is how long after its opening packet a flow may bring no data
-	// before its request counts as withdrawn: copies of the opening packet have
-	// gone elsewhere by then.
-	placedFor = 500 * time.Millisecond
+	// before its request counts as withdrawn: the last copy of the opening packet
+	// was sent by then.
+	placedFor = 700 * time.Millisecond
 )
 
 // Target names the target that a request is at.
@@ -63,6 +63,9 @@
 	// Ended is told how a request ended, once for each that began. took is the
 	// time since its first data, or since its opening packet when none came.
 	Ended(target Target, ending Ending, took time.Duration)
+	// Continued is told of data of a flow that this balancer knew before: whole
+	// tells that no data between went another way.
+	Continued(whole bool)
 }
 
 // flowKey names a flow by its two ends.
@@ -78,6 +81,9 @@
 // request is the open request of a watched flow.
 type request struct {
 	target Target
+	// before is the target of an earlier opening packet of the flow; zero
+	// without one.
+	before directory.Token
 	// asked tells that data was sent; until then the flow is only opening.
 	asked bool
 	// acknowledged is the caller's acknowledgement when it asked.
@@ -104,6 +110,7 @@
 type shard struct {
 	lock     sync.Mutex
 	requests map[flowKey]request
+	samples  map[flowKey]sample
 }
 
 // Watcher is the controller that follows requests.
@@ -117,6 +124,7 @@
 	watcher := &Watcher{listeners: listeners}
 	for index := range watcher.shards {
 		watcher.shards[index].requests = make(map[flowKey]request)
+		watcher.shards[index].samples = make(map[flowKey]sample)
 	}
 	return watcher
 }
@@ -143,18 +151,21 @@
 	case len(shard.requests) >= flowsKept/shardCount:
 		return
 	}
-	watcher.begin(shard, key, request{target: target, begunAt: now, since: now})
+	watcher.begin(shard, key, request{target: target, before: open.target.Token, begunAt: now, since: now})
 }
 
-// Former returns the target that the last opening packet of the segment's flow
-// was sent on to, if that was lately.
-func (watcher *Watcher) Former(segment steer.Segment) (Target, bool) {
+// Tried returns the targets that the last opening packets of the segment's flow
+// were sent on to, the latest first, as far as that is known.
+func (watcher *Watcher) Tried(segment steer.Segment) [steer.TriesKnown]directory.Token {
 	key := keyOf(segment)
 	shard := watcher.shard(key)
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
 	open, known := shard.requests[key]
-	return open.target, known && !open.asked
+	if !known || open.asked {
+		return [steer.TriesKnown]directory.Token{}
+	}
+	return [steer.TriesKnown]directory.Token{open.target.Token, open.before}
 }
 
 // Note takes in a packet that was sent on to the target of an open flow.
@@ -163,6 +174,9 @@
 	shard := watcher.shard(key)
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
+	if whole, told := shard.check(key, segment, now); told {
+		watcher.continued(whole)
+	}
 	open, known := shard.requests[key]
 	if known && open.target != target {
 		watcher.end(shard, key, open, Withdrawn, now)
@@ -227,6 +241,12 @@
 	}
 }
 
+func (watcher *Watcher) continued(whole bool) {
+	for _, listener := range watcher.listeners {
+		listener.Continued(whole)
+	}
+}
+
 // Name implements board.Controller.
 func (watcher *Watcher) Name() string { return "requests" }
 
@@ -240,6 +260,7 @@
 func (watcher *Watcher) sweep(shard *shard, now time.Time) {
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
+	shard.dropRested(now)
 	for key, open := range shard.requests {
 		if ending, over := open.overdue(now); over {
 			watcher.end(shard, key, open, ending, now)
--- a/internal/direct/requests/watcher_test.go
+++ b/internal/direct/requests/watcher_test.go
@@ -39,6 +39,8 @@
 // book counts what a listener is told.
 type book struct {
 	open, answered, unanswered, withdrawn map[directory.Token]int
+	// whole and gaps count data that followed what was seen before, or did not.
+	whole, gaps int
 }
 
 func newBook() *book {
@@ -62,6 +64,14 @@
 	}
 }
 
+func (book *book) Continued(whole bool) {
+	if whole {
+		book.whole++
+	} else {
+		book.gaps++
+	}
+}
+
 func asks(port uint16, sequence, acknowledgement uint32) step {
 	return packet(port, sequence, acknowledgement, func(segment *steer.Segment) { segment.HasData = true })
 }
@@ -130,17 +140,15 @@
 	watcher.Placed(opens(1), targetOf(7), start)
 	watcher.Placed(opens(1), targetOf(7), start)
 	require.Equal(t, 1, book.open[7], "a copy at the same target is one request")
-	former, known := watcher.Former(opens(1))
-	require.True(t, known)
-	require.Equal(t, targetOf(7), former)
+	require.Equal(t, [steer.TriesKnown]directory.Token{7}, watcher.Tried(opens(1)))
 	watcher.Placed(opens(1), targetOf(8), start.Add(200*time.Millisecond))
 	require.Equal(t, 0, book.open[7])
 	require.Equal(t, 1, book.open[8])
+	require.Equal(t, [steer.TriesKnown]directory.Token{8, 7}, watcher.Tried(opens(1)))
 	watcher.Note(asks(1, 1, 1).segment, targetOf(7), start.Add(210*time.Millisecond))
 	require.Equal(t, 1, book.open[7], "the flow opened at the first target after all")
 	require.Equal(t, 0, book.open[8])
-	_, known = watcher.Former(opens(1))
-	require.False(t, known, "an open flow has no former choice")
+	require.Zero(t, watcher.Tried(opens(1)), "an open flow has no former choice")
 	watcher.Note(acknowledges(1, 100, 50).segment, targetOf(7), start.Add(250*time.Millisecond))
 	require.Equal(t, 0, book.open[7])
 	require.Equal(t, 1, book.answered[7])
@@ -159,6 +167,48 @@
 	require.Zero(t, book.unanswered[7], "a silent target left no request unanswered")
 }
 
+// data is a packet with data of a number and a length.
+func data(port uint16, sequence, length uint32) step {
+	return packet(port, sequence, 1, func(segment *steer.Segment) {
+		segment.HasData = true
+		segment.Length = length
+	})
+}
+
+func TestGapsTellThatAFlowGoesOtherWaysToo(t *testing.T) {
+	cases := []struct {
+		name        string
+		steps       []step
+		whole, gaps int
+	}{
+		{"first data says nothing", []step{data(1, 100, 50)}, 0, 0},
+		{"data that follows", []step{data(1, 100, 50), data(1, 150, 50), data(1, 200, 10)}, 2, 0},
+		{"data sent again", []step{data(1, 100, 50), data(1, 100, 50)}, 1, 0},
+		{"data out of order", []step{data(1, 100, 50), data(1, 200, 50), data(1, 150, 50), data(1, 250, 50)}, 2, 1},
+		{"data that went another way", []step{data(1, 100, 50), data(1, 200, 50), data(1, 300, 50)}, 0, 2},
+		{"numbers that wrap", []step{data(1, 0xFFFFFFF0, 32), data(1, 16, 50)}, 1, 0},
+		{"a flow that rested", []step{data(1, 100, 50), wait(sampledFor), data(1, 300, 50)}, 0, 0},
+		{"another flow of the same port", []step{data(1, 100, 50), closes(1, 150, 1), data(1, 900, 50)}, 0, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			book := newBook()
+			watcher := NewWatcher(book)
+			now := start
+			for _, step := range test.steps {
+				now = now.Add(step.wait)
+				if step.wait > 0 {
+					watcher.Reconcile(now)
+					continue
+				}
+				watcher.Note(step.segment, step.target, now)
+			}
+			require.Equal(t, test.whole, book.whole)
+			require.Equal(t, test.gaps, book.gaps)
+		})
+	}
+}
+
 func TestWatchedFlowsAreBounded(t *testing.T) {
 	book := newBook()
 	watcher := NewWatcher(book)
@@ -168,6 +218,9 @@
 		watcher.Placed(opens(port+1), targetOf(8), start)
 	}
 	require.Equal(t, flowsKept, book.open[7]+book.open[8])
+	for index := range watcher.shards {
+		require.LessOrEqual(t, len(watcher.shards[index].samples), sampledFlows)
+	}
 	watcher.Reconcile(start.Add(HangAfter))
 	require.Zero(t, book.open[7]+book.open[8])
 }
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -186,6 +187,8 @@
 	targets [choicesKept]*record
 	scores  [choicesKept]float64
 	count   int
+	// byHash has the tokens of the first ones in the order of their hash.
+	byHash [TriesKnown]directory.Token
 }
 
 // add takes a target in by its score.
@@ -207,6 +210,9 @@
 // leastBusyFirst sorts the first candidates by how busy they are. Those that are
 // about as busy stay in the order of their hash, which prefers near ones.
 func (choices *choices) leastBusyFirst(options Options) {
+	for place := range min(TriesKnown, choices.count) {
+		choices.byHash[place] = choices.targets[place].Token
+	}
 	candidates := min(options.Candidates, choices.count)
 	if options.Loads == nil || candidates < 2 {
 		return
@@ -237,25 +243,34 @@
 }
 
 // pick returns the target for the opening packet, and the token of the one that
-// did not answer its former copy, or zero. When this balancer does not know
-// where the former copy went, it went where this balancer would have sent it.
+// did not answer its former copy, or zero.
 func (choices *choices) pick(segment Segment) (chosen *record, former directory.Token) {
 	if segment.Attempt == 0 {
 		return choices.targets[0], 0
 	}
-	if segment.Former == 0 {
-		attempt := min(segment.Attempt, choices.count-1)
-		if attempt == 0 {
-			return choices.targets[0], 0
-		}
-		return choices.targets[attempt], choices.targets[attempt-1].Token
+	tried := segment.Tried
+	if tried[0] == 0 {
+		tried = choices.tried(segment.Attempt)
 	}
 	for _, target := range choices.targets[:choices.count] {
-		if target.Token != segment.Former {
-			return target, segment.Former
+		if !slices.Contains(tried[:], target.Token) {
+			return target, tried[0]
+		}
+	}
+	return choices.targets[0], tried[0]
+}
+
+// tried returns the targets of the former copies of an opening packet as if this
+// balancer had placed them, the latest first. Another one did, by its hash unless
+// targets are busy.
+func (choices *choices) tried(attempt int) [TriesKnown]directory.Token {
+	var tried [TriesKnown]directory.Token
+	for copies := range min(attempt, TriesKnown) {
+		if place := attempt - 1 - copies; place < choices.count {
+			tried[copies] = choices.byHash[place]
 		}
 	}
-	return choices.targets[0], segment.Former
+	return tried
 }
 
 // rank fills choices with the best targets for the hash, by weighted rendezvous
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -27,9 +27,10 @@
 	Opening bool
 	// Attempt counts the copies of an opening packet, from zero.
 	Attempt int
-	// Former is the token of the target that the former copy of an opening
-	// packet was sent on to, as far as this balancer knows; else zero.
-	Former directory.Token
+	// Tried has the tokens of the targets that the former copies of an opening
+	// packet were sent on to, the latest first, as far as this balancer knows;
+	// else zero.
+	Tried [TriesKnown]directory.Token
 	// Abort tells that the packet itself ends its flow at once; it is never
 	// answered.
 	Abort bool
@@ -37,12 +38,18 @@
 	Closing bool
 	// Acknowledgement is the number of the next byte that the caller awaits.
 	Acknowledgement uint32
-	// Sequence is the number of the first byte of data, and HasData tells
-	// whether there is any. A sender repeats data under the same number.
+	// Sequence is the number of the first byte of data, HasData tells whether
+	// there is any, and Length how many bytes. A sender repeats data under the
+	// same number.
 	Sequence uint32
 	HasData  bool
+	Length   uint32
 }
 
+// TriesKnown is the number of former copies of an opening packet whose targets
+// matter: callers send three copies at the most.
+const TriesKnown = 2
+
 // Action is what a balancer does with a packet.
 type Action uint8
 
--- a/internal/direct/steer/steer_test.go
+++ b/internal/direct/steer/steer_test.go
@@ -192,23 +192,49 @@
 	require.InDelta(t, 3.0/14, float64(chosen)/flows, 0.03)
 }
 
-func TestCopiesAvoidTheTargetThatDidNotAnswer(t *testing.T) {
-	table := loadedTable(t, 5, 3, loads{})
-	first := opening(9)
-	chosen := table.Decide(first, start.Add(2*copiesSpan))
-	second := opening(9)
-	second.Attempt = 1
+func TestCopiesAvoidTheTargetsThatDidNotAnswer(t *testing.T) {
+	table := loadedTable(t, 5, 3, loads{1: 1, 2: 5, 3: 9})
+	copied := opening(9)
 	for former := directory.Token(1); former <= 5; former++ {
-		second.Former = former
-		decision := table.Decide(second, start.Add(2*copiesSpan))
-		require.NotEqual(t, former, decision.Token)
-		require.Equal(t, former, decision.Suspect)
+		for before := range directory.Token(6) {
+			copied.Attempt = 1
+			if before > 0 {
+				copied.Attempt = 2
+			}
+			copied.Tried = [TriesKnown]directory.Token{former, before}
+			decision := table.Decide(copied, start.Add(2*copiesSpan))
+			require.NotContains(t, []directory.Token{former, before}, decision.Token)
+			require.Equal(t, former, decision.Suspect)
+		}
 	}
-	second.Former = chosen.Token
-	table = loadedTable(t, 1, 3, loads{})
-	second.Former = 1
-	decision := table.Decide(second, start.Add(2*copiesSpan))
-	require.Equal(t, directory.Token(1), decision.Token, "the only target is tried again")
+}
+
+// TestCopiesOfOtherBalancersGoByHash: where a copy came by another way, the
+// former ones went where the hash says.
+func TestCopiesOfOtherBalancersGoByHash(t *testing.T) {
+	plain, loaded := tableOf(t, whole(5)), loadedTable(t, 5, 3, loads{1: 3, 2: 5, 3: 9})
+	for port := range 100 {
+		var placed []directory.Token
+		for attempt := range 3 {
+			copied := opening(port + 1)
+			copied.Attempt = attempt
+			decision := loaded.Decide(copied, start.Add(2*copiesSpan))
+			if attempt > 0 {
+				require.Equal(t, placed[attempt-1], decision.Suspect)
+				require.NotContains(t, placed, decision.Token)
+			}
+			placed = append(placed, plain.Decide(copied, start.Add(2*copiesSpan)).Token)
+		}
+	}
+}
+
+func TestTheOnlyTargetIsTriedAgain(t *testing.T) {
+	table := loadedTable(t, 1, 3, loads{})
+	copied := opening(9)
+	copied.Attempt = 1
+	copied.Tried = [TriesKnown]directory.Token{1}
+	decision := table.Decide(copied, start.Add(2*copiesSpan))
+	require.Equal(t, directory.Token(1), decision.Token)
 	require.Zero(t, decision.Suspect, "it is not probed for that")
 }
 
--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -23,7 +23,7 @@
 const balancerInterval = 40 * time.Millisecond
 
 // loadInterval is the least time between two reports of open requests.
-const loadInterval = 100 * time.Millisecond
+const loadInterval = 25 * time.Millisecond
 
 // peerFollowers bounds the balancers that a simulated balancer feeds.
 const peerFollowers = 16
@@ -68,6 +68,7 @@
 	options.Zone = string(balancer.process.Zone)
 	book := load.NewBook()
 	options.Loads = book
+	balancer.world.options.Parts.Choice(&options)
 	balancer.table = steer.NewTable(options)
 	var replica *feed.Replica
 	subscriber := feed.NewSubscriber(feed.SubscriberOptions{
@@ -118,8 +119,7 @@
 	now := balancer.process.LocalNow()
 	segment := packet.segment()
 	if segment.Opening && segment.Attempt > 0 {
-		former, _ := balancer.watcher.Former(segment)
-		segment.Former = former.Token
+		segment.Tried = balancer.watcher.Tried(segment)
 	}
 	decision := world.options.Parts.Decide(balancer.table, segment, now)
 	world.checks.decided(balancer, packet, decision)
--- a/internal/sim/directworld/caller.go
+++ b/internal/sim/directworld/caller.go
@@ -36,12 +36,19 @@
 	asked    int
 	answered int
 	closing  bool
+	// acknowledges tells that the packet carries no data.
+	acknowledges bool
 }
 
 // requestBytes is the length of one simulated request, and of one answer.
 const requestBytes = 100
 
 func (packet packet) segment() steer.Segment {
+	hasData := packet.asked > 0 && !packet.closing && !packet.acknowledges
+	length := uint32(0)
+	if hasData {
+		length = requestBytes
+	}
 	return steer.Segment{
 		Caller:  packet.flow.caller,
 		Service: packet.flow.service,
@@ -49,7 +56,8 @@
 		Opening: packet.opening,
 		Attempt: packet.attempt,
 
-		HasData:         packet.asked > 0 && !packet.closing,
+		HasData:         hasData,
+		Length:          length,
 		Sequence:        uint32(packet.asked * requestBytes),
 		Acknowledgement: uint32(packet.answered * requestBytes),
 		Closing:         packet.closing,
@@ -74,6 +82,10 @@
 	// asked and answered count the requests that were sent and answered.
 	asked    int
 	answered int
+	// call is the call that the flow is for, if it is for a single one, and
+	// callEnded tells that its end was taken in.
+	call      *call
+	callEnded bool
 }
 
 func (flow *flow) endpoint() kernel.Endpoint { return endpoint(flow.caller.String(), flow.zone) }
@@ -100,29 +112,45 @@
 }
 
 func (callers *callers) open() {
-	world := callers.world
-	callers.next++
 	service := routeFeed
-	if callers.random.Chance(0.25) {
+	if callers.random.Chance(0.25) || callers.world.options.CallsOnly {
 		service = routeLedger
 	}
-	opened := &flow{
-		world:   world,
+	callers.next++
+	opened := callers.flowOf(service)
+	opened.endsAt = callers.world.Now().Add(callers.random.Pareto(time.Second, 25*time.Second, 1.1))
+	opened.begin()
+	calm := callers.world.calm()
+	callers.world.after(openTimeout, func() { callers.note(opened, calm) })
+}
+
+// newFlow returns a flow from a port of its own, which lasts for a while.
+func (callers *callers) newFlow(service netip.AddrPort, lasts time.Duration) *flow {
+	callers.next++
+	created := callers.flowOf(service)
+	created.endsAt = callers.world.Now().Add(lasts)
+	return created
+}
+
+func (callers *callers) flowOf(service netip.AddrPort) *flow {
+	return &flow{
+		world:   callers.world,
 		caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(callers.next >> 16), byte(callers.next >> 8)}), uint16(1024+callers.next%60000)),
 		service: service,
 		zone:    zones[callers.next%len(zones)],
-		begunAt: world.Now(),
-		endsAt:  world.Now().Add(callers.random.Pareto(time.Second, 25*time.Second, 1.1)),
+		begunAt: callers.world.Now(),
 	}
+}
+
+// begin sends the opening packet and its copies.
+func (flow *flow) begin() {
 	for attempt, at := range copiesAt {
-		world.after(at, func() {
-			if opened.target == nil && !opened.ended {
-				opened.send(packet{flow: opened, opening: true, attempt: attempt})
+		flow.world.after(at, func() {
+			if flow.target == nil && !flow.ended {
+				flow.send(packet{flow: flow, opening: true, attempt: attempt})
 			}
 		})
 	}
-	calm := world.calm()
-	world.after(openTimeout, func() { callers.note(opened, calm) })
 }
 
 // note counts how opening ended for flows that began in calm.
@@ -164,7 +192,7 @@
 		return
 	}
 	if flow.world.Now().After(flow.endsAt) {
-		flow.send(packet{flow: flow, token: flow.token, asked: flow.asked, answered: flow.answered, closing: true})
+		flow.finish()
 		flow.end()
 		return
 	}
@@ -175,6 +203,23 @@
 	flow.world.after(dataInterval, flow.data)
 }
 
+// takeAnswer takes in the answer to a request, and acknowledges it.
+func (flow *flow) takeAnswer(asked int) {
+	flow.answeredAt = flow.world.Now()
+	if asked <= flow.answered {
+		return
+	}
+	flow.answered = asked
+	if !flow.ended {
+		flow.send(packet{flow: flow, token: flow.token, asked: flow.asked, answered: flow.answered, acknowledges: true})
+	}
+}
+
+// finish sends the last packet of the flow.
+func (flow *flow) finish() {
+	flow.send(packet{flow: flow, token: flow.token, asked: flow.asked, answered: flow.answered, closing: true})
+}
+
 func (flow *flow) end() {
 	flow.ended = true
 	if flow.target != nil {
@@ -191,4 +236,7 @@
 		flow.world.checks.wasReset(flow, by)
 	}
 	flow.end()
+	if flow.call != nil {
+		flow.call.ended(flow, false)
+	}
 }
--- a/internal/sim/directworld/operator.go
+++ b/internal/sim/directworld/operator.go
@@ -24,7 +24,7 @@
 func (operator *operator) base(version uint64) *declared.Configuration {
 	route := func(name string, address netip.AddrPort, kind declared.RequestKind, service string) declared.Route {
 		return declared.Route{
-			Name: name, Address: address, Kind: kind, Timeout: time.Second,
+			Name: name, Address: address, Kind: kind, Timeout: time.Second, Objective: objective,
 			Pool: []declared.PoolPart{{Service: service, Weight: 1}},
 		}
 	}
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -78,6 +78,18 @@
 		change:  func(options *Options) { options.Affine = true },
 		play:    greyTargets,
 	},
+	{
+		name:    "direct-heavy-load",
+		summary: "targets work at most of their capacity, one of them slowly, while one is replaced and a balancer restarts",
+		change:  callsOnly,
+		play:    heavyLoad,
+	},
+	{
+		name:    "direct-overload",
+		summary: "callers ask for a third more than targets can do, and try again what is refused",
+		change:  callsOnly,
+		play:    overload,
+	},
 	{
 		name:    "direct-leader-loss",
 		summary: "the leader is killed, loses power or stands still again and again under racing operators",
@@ -309,6 +321,43 @@
 	}
 }
 
+func callsOnly(options *Options) {
+	options.Affine = true
+	options.CallsOnly = true
+}
+
+// capacityPerSecond is the number of calls that a feed service of the default
+// size serves in a second.
+const capacityPerSecond = 300
+
+// feedTarget returns a ready target of the feed service.
+func (world *World) feedTarget() *target {
+	var ready []*target
+	for _, target := range world.targets {
+		if target.service == serviceFeed && target.alive && target.state == directory.TargetReady {
+			ready = append(ready, target)
+		}
+	}
+	return kernel.Pick(world.random, ready)
+}
+
+func heavyLoad(world *World) {
+	world.feedTarget().bench.slowness = 3
+	world.after(4*time.Second, func() {
+		replaced := world.feedTarget()
+		world.AddTarget(replaced.service, replaced.zone)
+		replaced.Drain()
+		world.restartBalancer(kernel.Pick(world.random, world.balancers), 300*time.Millisecond)
+	})
+	world.calls.Press(capacityPerSecond*7/10, 2*time.Second, 12*time.Second)
+	world.checks.timelyCalls(0.93, 1.1)
+}
+
+func overload(world *World) {
+	world.calls.Press(capacityPerSecond*4/3, 4*time.Second, 12*time.Second)
+	world.checks.timelyCalls(0.6, 1.05)
+}
+
 func leaderLoss(world *World) {
 	for range 5 {
 		leader := world.leader()
--- a/internal/sim/directworld/target.go
+++ b/internal/sim/directworld/target.go
@@ -36,6 +36,8 @@
 	// and hung has the flows with such a request.
 	grey float64
 	hung map[*flow]int
+	// bench has the requests of calls.
+	bench bench
 }
 
 // AddTarget starts a target of service at an address of its own.
@@ -57,6 +59,7 @@
 		alive:   true,
 		flows:   make(map[*flow]bool),
 		hung:    make(map[*flow]int),
+		bench:   bench{taken: make(map[*flow]bool)},
 		member:  world.random.Below(len(world.members)),
 	}
 	world.targets = append(world.targets, added)
@@ -269,15 +272,18 @@
 		world.checks.foreignPacket(target, packet)
 		return
 	}
-	if flow.lost || packet.closing {
+	if flow.lost || packet.closing || packet.acknowledges {
 		return
 	}
 	target.flows[flow] = true
+	if flow.call != nil {
+		target.work(job{flow: flow, asked: packet.asked})
+		return
+	}
 	if target.hangs(flow, packet.asked) {
 		return
 	}
 	world.packets.Send(target.endpoint(), flow.endpoint(), func() {
-		flow.answeredAt = world.Now()
-		flow.answered = max(flow.answered, packet.asked)
+		flow.takeAnswer(packet.asked)
 	})
 }
--- /dev/null
+++ b/internal/sim/directworld/work.go
@@ -0,0 +1,198 @@
+package directworld
+
+import (
+	"time"
+
+	"merlinpaddle/internal/checker"
+	"merlinpaddle/internal/sim/kernel"
+)
+
+const (
+	// slotsPerTarget is the number of requests that a target works on at once,
+	// and queuePerTarget the number that wait for it; it refuses more.
+	slotsPerTarget = 2
+	queuePerTarget = 10
+	// workLeast and workMost bound the time of one request on a slot.
+	workLeast = 20 * time.Millisecond
+	workMost  = 60 * time.Millisecond
+	// objective is the latency that the route of the calls aims at.
+	objective = 200 * time.Millisecond
+	// triesPerCall bounds the flows that a caller opens for one call.
+	triesPerCall = 3
+)
+
+// job is a request that a target works on, or will.
+type job struct {
+	flow  *flow
+	asked int
+}
+
+// bench is a target's place of work.
+type bench struct {
+	running int
+	queue   []job
+	// taken has the flows whose request is running or waits.
+	taken map[*flow]bool
+	// slowness multiplies the time of a request; zero counts as one.
+	slowness int
+}
+
+// work takes a request of a call in. One that is there already changes nothing,
+// and one too many is refused.
+func (target *target) work(next job) {
+	world := target.world
+	if target.bench.taken[next.flow] || next.flow.answered >= next.asked {
+		return
+	}
+	world.calls.arrived++
+	switch {
+	case target.bench.running < slotsPerTarget:
+		target.bench.taken[next.flow] = true
+		target.run(next)
+	case len(target.bench.queue) < queuePerTarget:
+		target.bench.taken[next.flow] = true
+		target.bench.queue = append(target.bench.queue, next)
+	default:
+		target.answer(next, false)
+	}
+}
+
+func (target *target) run(next job) {
+	target.bench.running++
+	duration := target.world.calls.random.Between(workLeast, workMost) * time.Duration(max(target.bench.slowness, 1))
+	target.world.after(duration, func() {
+		target.bench.running--
+		delete(target.bench.taken, next.flow)
+		if !target.alive {
+			return
+		}
+		target.answer(next, true)
+		if len(target.bench.queue) > 0 {
+			following := target.bench.queue[0]
+			target.bench.queue = target.bench.queue[1:]
+			target.run(following)
+		}
+	})
+}
+
+// answer sends the answer to a call, or its refusal.
+func (target *target) answer(done job, served bool) {
+	world := target.world
+	world.packets.Send(target.endpoint(), done.flow.endpoint(), func() {
+		done.flow.takeAnswer(done.asked)
+		done.flow.call.ended(done.flow, served)
+	})
+}
+
+// call is a request with a flow of its own, tried again when it fails.
+type call struct {
+	world   *World
+	begunAt time.Time
+	tries   int
+	done    bool
+	// counted tells that the call began while calls were counted.
+	counted bool
+}
+
+// try opens one more flow for the call.
+func (call *call) try() {
+	call.tries++
+	opened := call.world.callers.newFlow(routeFeed, time.Minute)
+	opened.call = call
+	opened.begin()
+	call.world.after(openTimeout, func() {
+		if opened.target == nil {
+			call.ended(opened, false)
+		}
+	})
+}
+
+// ended takes in how the flow of the latest try ended.
+func (call *call) ended(flow *flow, served bool) {
+	if flow.callEnded {
+		return
+	}
+	flow.callEnded = true
+	if flow.target != nil && !flow.ended {
+		flow.finish()
+	}
+	flow.end()
+	switch {
+	case call.done:
+	case served:
+		call.done = true
+		call.world.calls.note(call, true)
+	case call.tries < triesPerCall:
+		call.try()
+	default:
+		call.done = true
+		call.world.calls.note(call, false)
+	}
+}
+
+// calls makes calls at a rate and counts how they end.
+type calls struct {
+	world     *World
+	random    *kernel.Random
+	perSecond int
+	running   bool
+	// counting tells that calls count that begin now; asked, timely, served and
+	// arrived count them, the answers within the objective, all answers, and the
+	// requests that reached targets.
+	counting                       bool
+	asked, timely, served, arrived int
+}
+
+func newCalls(world *World) *calls { return &calls{world: world, random: world.run.Random("calls")} }
+
+// Press makes calls at a rate for a while, and counts those after the first
+// warmUp.
+func (calls *calls) Press(perSecond int, warmUp, duration time.Duration) {
+	calls.perSecond = perSecond
+	calls.running = true
+	calls.next()
+	calls.world.RunFor(warmUp)
+	calls.asked, calls.timely, calls.served, calls.arrived = 0, 0, 0, 0
+	calls.counting = true
+	calls.world.RunFor(duration)
+	calls.counting = false
+	calls.running = false
+	calls.world.RunFor(2 * time.Second)
+}
+
+func (calls *calls) next() {
+	calls.world.after(calls.random.Exponential(time.Second/time.Duration(calls.perSecond)), func() {
+		if !calls.running {
+			return
+		}
+		begun := &call{world: calls.world, begunAt: calls.world.Now(), counted: calls.counting}
+		if calls.counting {
+			calls.asked++
+		}
+		begun.try()
+		calls.next()
+	})
+}
+
+func (calls *calls) note(ended *call, served bool) {
+	if !ended.counted || !served {
+		return
+	}
+	calls.served++
+	if calls.world.Now().Sub(ended.begunAt) <= objective {
+		calls.timely++
+	}
+}
+
+// timelyCalls demands that enough of the counted calls were answered within the
+// objective, and that callers' tries did not multiply them at the targets.
+func (checks *checks) timelyCalls(timelyShare, arrivalsEach float64) {
+	calls := checks.world.calls
+	if share := float64(calls.timely) / float64(max(calls.asked, 1)); share < timelyShare {
+		checks.violate(checker.InvariantTimely, "%d of %d calls were answered within %s, %d at all; %.2f are demanded",
+			calls.timely, calls.asked, objective, calls.served, timelyShare)
+	}
+	if each := float64(calls.arrived) / float64(max(calls.asked, 1)); each > arrivalsEach {
+		checks.violate(checker.InvariantTimely, "%d requests reached targets for %d calls", calls.arrived, calls.asked)
+	}
+}
--- a/internal/sim/directworld/world.go
+++ b/internal/sim/directworld/world.go
@@ -25,6 +25,8 @@
 type Parts struct {
 	// Decide decides about a packet at a balancer.
 	Decide func(table *steer.Table, segment steer.Segment, now time.Time) steer.Decision
+	// Choice changes how balancers choose targets and admit flows.
+	Choice func(options *steer.Options)
 	// Machine wraps the replicated state of a member.
 	Machine func(standard replica.StateMachine) replica.StateMachine
 	// Disk wraps a member's disk.
@@ -41,6 +43,7 @@
 		Decide: func(table *steer.Table, segment steer.Segment, now time.Time) steer.Decision {
 			return table.Decide(segment, now)
 		},
+		Choice:  func(*steer.Options) {},
 		Machine: func(standard replica.StateMachine) replica.StateMachine { return standard },
 		Disk:    func(standard filesystem.FileSystem) filesystem.FileSystem { return standard },
 		Read: func(member *Member, now, deadline time.Time, done func(*declared.Configuration, error)) {
@@ -61,6 +64,8 @@
 	// Affine makes the routers send all packets of a flow to one balancer, as
 	// long as it is there; otherwise each packet goes to any.
 	Affine bool
+	// CallsOnly leaves the feed service to calls, whose requests take time there.
+	CallsOnly bool
 	// Skewed gives every process a clock of its own.
 	Skewed bool
 	Parts  Parts
@@ -113,6 +118,7 @@
 	// byAddress has the target process at each address.
 	byAddress map[netip.AddrPort]*target
 	callers   *callers
+	calls     *calls
 	operator  *operator
 	checks    *checks
 	nextID    uint64
@@ -141,6 +147,7 @@
 	}
 	world.checks = newChecks(world)
 	world.callers = newCallers(world)
+	world.calls = newCalls(world)
 	world.operator = newOperator(world)
 	world.disturbedAt = run.Scheduler.Now()
 	return world
--- a/internal/sim/mutant/direct.go
+++ b/internal/sim/mutant/direct.go
@@ -170,3 +170,38 @@
 		}),
 	}
 }
+
+// directChoice returns a variant that changes how balancers choose targets.
+func directChoice(change func(options *steer.Options)) Change {
+	return func(_ *sim.Run, parts *world.Parts) { parts.Direct.Choice = change }
+}
+
+func directChoiceBlind() Mutant {
+	return Mutant{
+		Name:    "direct-choice-blind",
+		Breaks:  "balancers choose targets by hash alone, whatever is open there",
+		Expect:  []checker.Invariant{checker.InvariantTimely},
+		Story:   storyOf("direct-heavy-load"),
+		Variant: directChoice(func(options *steer.Options) { options.Candidates = 1 }),
+	}
+}
+
+func directAdmissionOff() Mutant {
+	return Mutant{
+		Name:    "direct-admission-off",
+		Breaks:  "balancers let every flow in, however much there is to do",
+		Expect:  []checker.Invariant{checker.InvariantTimely},
+		Story:   storyOf("direct-overload"),
+		Variant: directChoice(func(options *steer.Options) { options.AdmitShare = 0 }),
+	}
+}
+
+func directRefusesEarly() Mutant {
+	return Mutant{
+		Name:    "direct-refuses-early",
+		Breaks:  "balancers refuse flows that targets could serve in time",
+		Expect:  []checker.Invariant{checker.InvariantTimely},
+		Story:   storyOf("direct-heavy-load"),
+		Variant: directChoice(func(options *steer.Options) { options.AdmitShare = 0.05 }),
+	}
+}
--- a/internal/sim/mutant/table.go
+++ b/internal/sim/mutant/table.go
@@ -50,6 +50,9 @@
 		directUpdatesStale(),
 		directEntriesNotSynced(),
 		directLivingTargetFailed(),
+		directChoiceBlind(),
+		directAdmissionOff(),
+		directRefusesEarly(),
 	}
 }
 
