Describe the load of targets, count it in metrics, and split what grew

docs/design/load.md has design, ways weighed, limits and switches; glossary, operations (how to explain a refused flow), platform page and changelog follow. Metrics: merlinpaddle_direct_open_requests, merlinpaddle_direct_load_trusted.

--- a/internal/direct/balancernode/metrics.go
+++ b/internal/direct/balancernode/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"merlinpaddle/internal/direct/egress"
+	"merlinpaddle/internal/direct/load"
 	"merlinpaddle/internal/direct/steer"
 )
 
@@ -25,6 +26,9 @@
 	tableAge   prometheus.Histogram
 	egressWait prometheus.Histogram
 	table      *steer.Table
+	book       *load.Book
+	open       *prometheus.Desc
+	trusted    *prometheus.Desc
 	revision   *prometheus.Desc
 	version    *prometheus.Desc
 	confirmed  *prometheus.Desc
@@ -38,7 +42,7 @@
 	waitBuckets = []float64{.005, .01, .02, .05, .1, .2, .4, .8, 1.6}
 )
 
-func newMetrics(table *steer.Table) *metrics {
+func newMetrics(table *steer.Table, book *load.Book) *metrics {
 	return &metrics{
 		tableAge: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "merlinpaddle_direct_table_age_seconds", Buckets: ageBuckets,
@@ -49,6 +53,12 @@
 			Help: "Time that datagrams waited for the link, of those that did.",
 		}),
 		table: table,
+		book:  book,
+		open: prometheus.NewDesc("merlinpaddle_direct_open_requests",
+			"Requests that are open at targets, by the balancers that sent them on: this one, or others as they told.",
+			[]string{"of"}, nil),
+		trusted: prometheus.NewDesc("merlinpaddle_direct_load_trusted",
+			"1 while this balancer sees its flows whole, so that it chooses and admits by open requests; else 0.", nil, nil),
 		revision: prometheus.NewDesc("merlinpaddle_direct_table_revision",
 			"The revision of this balancer's table; 0 without one.", nil, nil),
 		version: prometheus.NewDesc("merlinpaddle_direct_table_version",
@@ -80,6 +90,8 @@
 	descriptions <- metrics.packets
 	descriptions <- metrics.malformedAs
 	descriptions <- metrics.egress
+	descriptions <- metrics.open
+	descriptions <- metrics.trusted
 	descriptions <- metrics.revision
 	descriptions <- metrics.version
 	descriptions <- metrics.confirmed
@@ -92,10 +104,8 @@
 		collected <- prometheus.MustNewConstMetric(metrics.packets, prometheus.CounterValue, count, reason.String())
 	}
 	metrics.collectEgress(collected)
-	confirmed := 0.0
-	if metrics.table.Fresh(time.Now()) {
-		confirmed = 1
-	}
+	metrics.collectLoad(collected)
+	confirmed := gaugeOf(metrics.table.Fresh(time.Now()))
 	collected <- prometheus.MustNewConstMetric(metrics.revision, prometheus.GaugeValue, float64(metrics.table.Revision()))
 	collected <- prometheus.MustNewConstMetric(metrics.version, prometheus.GaugeValue, float64(metrics.table.Version()))
 	collected <- prometheus.MustNewConstMetric(metrics.confirmed, prometheus.GaugeValue, confirmed)
@@ -103,6 +113,21 @@
 	collected <- prometheus.MustNewConstMetric(metrics.malformedAs, prometheus.CounterValue, malformed)
 }
 
+// gaugeOf returns 1 for true, else 0.
+func gaugeOf(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
+func (metrics *metrics) collectLoad(collected chan<- prometheus.Metric) {
+	own, others := metrics.book.Totals()
+	collected <- prometheus.MustNewConstMetric(metrics.open, prometheus.GaugeValue, float64(own), "this")
+	collected <- prometheus.MustNewConstMetric(metrics.open, prometheus.GaugeValue, float64(others), "others")
+	collected <- prometheus.MustNewConstMetric(metrics.trusted, prometheus.GaugeValue, gaugeOf(metrics.book.Trusted()))
+}
+
 func (metrics *metrics) collectEgress(collected chan<- prometheus.Metric) {
 	counts := metrics.counts()
 	for _, row := range []struct {
--- a/internal/direct/load/book.go
+++ b/internal/direct/load/book.go
@@ -78,7 +78,7 @@
 // Ended implements requests.Listener.
 func (book *Book) Ended(target requests.Target, ending requests.Ending, took time.Duration) {
 	if ending != requests.Withdrawn {
-		book.trust.noteRequest(ending == requests.Answered)
+		book.trust.missed.Note(ending != requests.Answered)
 	}
 	shard := book.shard(target.Token)
 	shard.lock.Lock()
@@ -135,6 +135,25 @@
 	return known.own + known.others, time.Duration(known.serving)
 }
 
+// Totals returns the open requests of all targets: this balancer's own, and those
+// that other balancers told.
+func (book *Book) Totals() (own, others int) {
+	for index := range book.shards {
+		shard := &book.shards[index]
+		shard.lock.RLock()
+		for _, known := range shard.counts {
+			own += known.own
+			others += known.others
+		}
+		shard.lock.RUnlock()
+	}
+	return own, others
+}
+
+// Trusted tells whether this balancer sees its flows whole, so that counts are
+// used.
+func (book *Book) Trusted() bool { return book.trust.holds() }
+
 // appendOwn appends this balancer's counts that are not zero, in no order. It has
 // none to tell while it does not see its flows whole.
 func (book *Book) appendOwn(entries []Entry) []Entry {
--- a/internal/direct/requests/continuity.go
+++ b/internal/direct/requests/continuity.go
@@ -1,7 +1,6 @@
 package requests
 
 import (
-	"sync"
 	"time"
 
 	"merlinpaddle/internal/direct/steer"
@@ -52,13 +51,9 @@
 	}
 }
 
-const (
-	// gapWeight is the weight of one more packet with data in the average.
-	gapWeight = 0.05
-	// gapsMost is the largest share of data behind a gap with which flows count
-	// as whole.
-	gapsMost = 0.2
-)
+// gapsMost is the largest share of data behind a gap with which flows count as
+// whole.
+const gapsMost = 0.2
 
 // Continuity tells whether a balancer gets all packets of its flows. Where
 // routers spray the packets of one flow over balancers, one sees the request and
@@ -66,23 +61,11 @@
 // says little. The zero value takes flows for whole. It is safe for many
 // goroutines.
 type Continuity struct {
-	lock sync.Mutex
-	gaps float64
+	gaps Share
 }
 
 // Note takes in whether data followed what was seen of its flow before.
-func (continuity *Continuity) Note(whole bool) {
-	continuity.lock.Lock()
-	defer continuity.lock.Unlock()
-	continuity.gaps *= 1 - gapWeight
-	if !whole {
-		continuity.gaps += gapWeight
-	}
-}
+func (continuity *Continuity) Note(whole bool) { continuity.gaps.Note(!whole) }
 
 // Whole tells whether flows come whole.
-func (continuity *Continuity) Whole() bool {
-	continuity.lock.Lock()
-	defer continuity.lock.Unlock()
-	return continuity.gaps <= gapsMost
-}
+func (continuity *Continuity) Whole() bool { return continuity.gaps.Value() <= gapsMost }
--- /dev/null
+++ b/internal/direct/steer/apply.go
@@ -0,0 +1,107 @@
+package steer
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"merlinpaddle/internal/direct/directory"
+)
+
+// replace takes a whole directory in. What this balancer learned of targets
+// that stay is kept.
+func (table *Table) replace(changes directory.Changes, now time.Time) {
+	former := table.targets
+	first := table.revision == 0
+	table.routes = make(map[netip.AddrPort]route, len(changes.Routes))
+	table.targets = make(map[directory.Token]*record, len(changes.Targets))
+	for token, known := range former {
+		if contains(changes.Targets, token) {
+			table.targets[token] = known
+		}
+	}
+	table.mergeRoutes(changes.Routes)
+	table.mergeTargets(changes.Targets, now, first)
+}
+
+func contains(targets []directory.TargetEntry, token directory.Token) bool {
+	for index := range targets {
+		if targets[index].Token == token {
+			return true
+		}
+	}
+	return false
+}
+
+func (table *Table) merge(changes directory.Changes, now time.Time) {
+	for _, address := range changes.Removed {
+		delete(table.routes, address)
+	}
+	for _, token := range changes.Forgotten {
+		delete(table.targets, token)
+	}
+	table.mergeRoutes(changes.Routes)
+	table.mergeTargets(changes.Targets, now, false)
+}
+
+func (table *Table) mergeRoutes(entries []directory.RouteEntry) {
+	for _, entry := range entries {
+		added := route{parts: entry.Pool, objective: entry.Objective, priority: entry.Priority}
+		for _, part := range entry.Pool {
+			added.total += part.Weight
+		}
+		table.routes[entry.Address] = added
+	}
+}
+
+// mergeTargets adds or changes targets. settled tells that the entries come
+// with the balancer's first table, so others know their tokens already.
+func (table *Table) mergeTargets(entries []directory.TargetEntry, now time.Time, settled bool) {
+	for _, entry := range entries {
+		known := table.targets[entry.Token]
+		if known == nil {
+			known = &record{seed: seedOf(entry.ID)}
+			if !settled {
+				known.usableAt = now.Add(table.options.SettleTime)
+				known.warmAt = now.Add(entry.Cold)
+			}
+			table.targets[entry.Token] = known
+		}
+		if known.State != entry.State {
+			known.avoidUntil = time.Time{}
+		}
+		known.TargetEntry = entry
+		known.near = entry.Zone != "" && entry.Zone == table.options.Zone
+	}
+}
+
+func (table *Table) rebuildServices() {
+	services := make(map[string]*service)
+	for _, target := range table.targets {
+		if target.State != directory.TargetReady {
+			continue
+		}
+		built := services[target.Service]
+		if built == nil {
+			built = newService(table.services[target.Service])
+			services[target.Service] = built
+		}
+		built.targets = append(built.targets, target)
+		built.capacity += target.Capacity
+	}
+	table.services = services
+}
+
+// rankRoutes orders routes by their priorities.
+func (table *Table) rankRoutes() {
+	var priorities []int
+	for _, route := range table.routes {
+		priorities = append(priorities, route.priority)
+	}
+	slices.Sort(priorities)
+	priorities = slices.Compact(priorities)
+	for address, route := range table.routes {
+		route.rank, _ = slices.BinarySearch(priorities, route.priority)
+		table.routes[address] = route
+	}
+}
--- /dev/null
+++ b/internal/direct/steer/options.go
@@ -0,0 +1,53 @@
+package steer
+
+import (
+	"time"
+
+	"merlinpaddle/internal/direct/directory"
+)
+
+// Options are the bounds that a table works with.
+type Options struct {
+	// SettleTime is how long a target that was just learned gets no new
+	// flows, so that every balancer knows its token by then.
+	SettleTime time.Duration
+	// FreshFor is how long after the last sign of a confirmed member the table
+	// counts as current.
+	FreshFor time.Duration
+	// AvoidFor is how long a target that a probe found dead gets no new flows
+	// from this balancer, unless the table says otherwise before.
+	AvoidFor time.Duration
+	// Zone is the balancer's zone. Targets of the same zone get NearWeight
+	// times as many of its new flows as others of the same capacity.
+	Zone       string
+	NearWeight float64
+	// Candidates is the number of targets, best by hash, among which the least
+	// busy one is chosen for a new flow; one chooses by hash alone.
+	Candidates int
+	// AdmitShare is the share of its route's objective that a new flow's request
+	// may be expected to take at the chosen target; else the flow has to wait or
+	// is refused. Zero admits all.
+	AdmitShare float64
+	// Loads tells how busy targets are; nil when nobody knows.
+	Loads Loads
+}
+
+// Loads tells how busy targets are, as far as is known. It may be called from
+// any goroutine.
+type Loads interface {
+	// Load returns the number of requests that are open at the target, and how
+	// long it takes with one when it is idle; zero when that is not known.
+	Load(token directory.Token) (open int, serving time.Duration)
+}
+
+// DefaultOptions returns the bounds of processes.
+func DefaultOptions() Options {
+	return Options{
+		SettleTime: 250 * time.Millisecond,
+		FreshFor:   1500 * time.Millisecond,
+		AvoidFor:   3 * time.Second,
+		NearWeight: 4,
+		Candidates: 3,
+		AdmitShare: 0.6,
+	}
+}
--- /dev/null
+++ b/internal/sim/directworld/stories_control.go
@@ -0,0 +1,171 @@
+package directworld
+
+import (
+	"fmt"
+	"time"
+
+	"merlinpaddle/internal/sim/kernel"
+)
+
+func leaderLoss(world *World) {
+	for range 5 {
+		leader := world.leader()
+		if leader == nil {
+			world.RunFor(2 * time.Second)
+			continue
+		}
+		downFor := world.random.Between(100*time.Millisecond, 4*time.Second)
+		switch world.random.Below(3) {
+		case 0:
+			leader.Kill()
+			world.after(downFor, leader.Start)
+		case 1:
+			leader.PowerOff()
+			world.after(downFor, leader.Start)
+		case 2:
+			world.disturb("freeze", string(leader.process.Name))
+			leader.process.Freeze()
+			world.after(downFor, func() {
+				world.disturb("thaw", string(leader.process.Name))
+				leader.process.Thaw()
+			})
+		}
+		for _, target := range world.livingTargets(1) {
+			target.Drain()
+			world.AddTarget(target.service, target.zone)
+		}
+		world.RunFor(downFor + 4*time.Second)
+	}
+}
+
+// cut separates a member for a while in one of several ways.
+func (world *World) cut(member *Member, duration time.Duration) {
+	name := member.process.Name
+	var heals []func()
+	kind := world.random.Below(4)
+	switch kind {
+	case 0:
+		heals = append(heals, world.control.Isolate(name))
+	case 1, 2:
+		for _, other := range world.members {
+			if other == member {
+				continue
+			}
+			heals = append(heals, world.control.CutOneWay(name, other.process.Name))
+			if kind == 2 {
+				heals = append(heals, world.control.CutOneWay(other.process.Name, name))
+			}
+		}
+	case 3:
+		for _, balancer := range world.balancers {
+			heals = append(heals, world.control.CutOneWay(name, balancer.process.Name))
+		}
+	}
+	world.disturb("cut", fmt.Sprintf("%s, kind %d", name, kind))
+	world.after(duration, func() {
+		world.disturb("heal", string(name))
+		for _, heal := range heals {
+			heal()
+		}
+	})
+}
+
+func coreCuts(world *World) {
+	for range 5 {
+		member := kernel.Pick(world.random, world.members)
+		if leader := world.leader(); leader != nil && world.random.Chance(0.6) {
+			member = leader
+		}
+		duration := world.random.Between(time.Second, 6*time.Second)
+		world.cut(member, duration)
+		for _, target := range world.livingTargets(1) {
+			target.Drain()
+			world.AddTarget(target.service, target.zone)
+		}
+		world.RunFor(duration + 3*time.Second)
+	}
+}
+
+func lostDisks(world *World) {
+	for range 4 {
+		member := kernel.Pick(world.random, world.members)
+		member.PowerOff()
+		member.Wipe()
+		world.RunFor(world.random.Between(100*time.Millisecond, 2*time.Second))
+		member.Start()
+		world.RunFor(6 * time.Second)
+	}
+	world.RunFor(2 * time.Second)
+	world.powerOffAll(true)
+}
+
+func replacedMembers(world *World) {
+	for round := range 3 {
+		gone := world.members[round]
+		gone.PowerOff()
+		world.RunFor(world.random.Between(100*time.Millisecond, 2*time.Second))
+		world.AddMember(fmt.Sprintf("10.0.%d.1:7000", 100+round), gone.process.Zone)
+		world.RunFor(10 * time.Second)
+	}
+	gone := world.members[3]
+	gone.PowerOff()
+	world.RunFor(9 * time.Second)
+	gone.Start()
+}
+
+// powerOffAll lets every process lose power at once; with losing, the disk of
+// one member too.
+func (world *World) powerOffAll(losing bool) {
+	unlucky := kernel.Pick(world.random, world.members)
+	for _, member := range world.members {
+		running := member.process.Running()
+		member.PowerOff()
+		if losing && member == unlucky {
+			member.Wipe()
+		}
+		if running {
+			world.after(world.random.Between(500*time.Millisecond, 1500*time.Millisecond), member.Start)
+		}
+	}
+	for _, balancer := range world.balancers {
+		world.restartBalancer(balancer, world.random.Between(500*time.Millisecond, 1500*time.Millisecond))
+	}
+}
+
+func powerLoss(world *World) {
+	for round := range 4 {
+		world.powerOffAll(round%2 == 1)
+		world.RunFor(world.random.Between(7*time.Second, 9*time.Second))
+	}
+}
+
+func fullDisks(world *World) {
+	for range 4 {
+		member := kernel.Pick(world.random, world.members)
+		if leader := world.leader(); leader != nil && world.random.Chance(0.6) {
+			member = leader
+		}
+		world.disturb("disk-full", string(member.process.Name))
+		member.disk.SetCapacity(1)
+		world.RunFor(world.random.Between(time.Second, 5*time.Second))
+		member.disk.SetCapacity(0)
+		world.disturb("disk-room", string(member.process.Name))
+		world.RunFor(4 * time.Second)
+	}
+}
+
+func fiveMembers(world *World) {
+	world.RunFor(4 * time.Second)
+	for range 3 {
+		first := world.random.Below(len(world.members))
+		second := (first + 1 + world.random.Below(len(world.members)-1)) % len(world.members)
+		for _, place := range []int{first, second} {
+			member := world.members[place]
+			member.PowerOff()
+			member.Wipe()
+			world.after(world.random.Between(200*time.Millisecond, 2*time.Second), member.Start)
+		}
+		world.RunFor(10 * time.Second)
+	}
+	world.powerOffAll(false)
+}
--- /dev/null
+++ b/internal/sim/directworld/stories_load.go
@@ -0,0 +1,45 @@
+package directworld
+
+import (
+	"time"
+
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/sim/kernel"
+)
+
+func callsOnly(options *Options) {
+	options.Affine = true
+	options.CallsOnly = true
+}
+
+// capacityPerSecond is the number of calls that a feed service of the default
+// size serves in a second.
+const capacityPerSecond = 300
+
+// feedTarget returns a ready target of the feed service.
+func (world *World) feedTarget() *target {
+	var ready []*target
+	for _, target := range world.targets {
+		if target.service == serviceFeed && target.alive && target.state == directory.TargetReady {
+			ready = append(ready, target)
+		}
+	}
+	return kernel.Pick(world.random, ready)
+}
+
+func heavyLoad(world *World) {
+	world.feedTarget().bench.slowness = 3
+	world.after(4*time.Second, func() {
+		replaced := world.feedTarget()
+		world.AddTarget(replaced.service, replaced.zone)
+		replaced.Drain()
+		world.restartBalancer(kernel.Pick(world.random, world.balancers), 300*time.Millisecond)
+	})
+	world.calls.Press(capacityPerSecond*7/10, 2*time.Second, 12*time.Second)
+	world.checks.timelyCalls(0.93, 1.1)
+}
+
+func overload(world *World) {
+	world.calls.Press(capacityPerSecond*4/3, 4*time.Second, 12*time.Second)
+	world.checks.timelyCalls(0.6, 1.05)
+}
