--- a/internal/direct/load/exchange.go
+++ b/internal/direct/load/exchange.go
@@ -30,7 +30,7 @@
 const (
 	// pauseEach is the least time between two reports for each balancer that
 	// gets them: it bounds the messages of a balancer to 1/pauseEach a second.
-	pauseEach = 4 * time.Millisecond
+	pauseEach = 10 * time.Millisecond
 	// keepaliveInterval is the time between two reports while nothing changes.
 	keepaliveInterval = 250 * time.Millisecond
 	// silentAfter is how long after its last report the counts of a balancer
--- /dev/null
+++ b/internal/explain/lines.go
@@ -0,0 +1,90 @@
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"merlinpaddle/internal/faults"
+)
+
+// Line is what explain reads of one structured log line. Fields that a line
+// does not have are zero.
+type Line struct {
+	Time    time.Time `json:"time"`
+	Logger  string    `json:"logger"`
+	Message string    `json:"message"`
+	Node    string    `json:"node"`
+
+	Caller  string `json:"caller"`
+	Route   string `json:"route"`
+	Reason  string `json:"reason"`
+	Opening bool   `json:"opening"`
+	Attempt int    `json:"attempt"`
+	Token   uint64 `json:"token"`
+	Target  uint64 `json:"target"`
+	Suspect uint64 `json:"suspect"`
+	// Open is the number of requests that were open at the chosen target, and
+	// Expected how long a further one would take there.
+	Open     int    `json:"open"`
+	Expected string `json:"expected"`
+	Revision uint64 `json:"revision"`
+	Version  uint64 `json:"version"`
+	// ConfirmedAgo is how old the balancer's table may have been.
+	ConfirmedAgo string `json:"confirmed_ago"`
+
+	State    string `json:"state"`
+	Outcome  string `json:"outcome"`
+	Verdict  string `json:"verdict"`
+	Cause    string `json:"cause"`
+	Address  string `json:"address"`
+	Leader   string `json:"leader"`
+	Settings string `json:"settings"`
+	LeftOut  uint64 `json:"left_out"`
+}
+
+// The messages of the lines that explain knows.
+const (
+	messageOpened     = "flow opened"
+	messageReset      = "flow reset"
+	messageDropped    = "packet dropped"
+	messageProbed     = "suspected target probed"
+	messageReported   = "target reported dead"
+	messageFailed     = "target failed"
+	messageRecovered  = "target recovered"
+	messageRegistered = "target registered"
+	messageLeaves     = "target leaves"
+	messageStarts     = "process starts"
+	messageEnds       = "process ends"
+)
+
+// neverConfirmed is the age of a table that no quorum confirmed yet.
+const neverConfirmed = "never"
+
+// maximumLine bounds one log line, in bytes.
+const maximumLine = 1 << 20
+
+// Read returns the structured lines of a log. Text before a line's first brace
+// is passed over, and so are lines that are not structured.
+func Read(log io.Reader) ([]Line, error) {
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, maximumLine)
+	var lines []Line
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		begin := bytes.IndexByte(text, '{')
+		if begin < 0 {
+			continue
+		}
+		var line Line
+		if err := json.Unmarshal(text[begin:], &line); err == nil && line.Message != "" {
+			lines = append(lines, line)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, faults.New(faults.LogUnreadable, "%v", err)
+	}
+	return lines, nil
+}
