--- a/internal/direct/feed/feed.go
+++ b/internal/direct/feed/feed.go
@@ -56,9 +56,11 @@
 	// Peers are balancers to follow when no member can be reached; set when
 	// they changed since the last update to this balancer.
 	Peers []model.NodeName
-	// Neighbours are the balancers to tell of the load of targets; set by
-	// members when they changed since the last update to this balancer.
-	Neighbours []model.NodeName
+	// Neighbours are the balancers to tell of the load of targets. Members set
+	// them, and NeighboursTold, when they changed since the last update to this
+	// balancer.
+	Neighbours     []model.NodeName
+	NeighboursTold bool
 	// Members are the names of the group's members; set when they changed
 	// since the last update to this balancer.
 	Members []model.NodeName
--- a/internal/direct/feed/peers.go
+++ b/internal/direct/feed/peers.go
@@ -7,20 +7,17 @@
 	"merlinpaddle/internal/model"
 )
 
-// selection has the numbers of balancers of a balancer's own zone, and of other
-// zones, that it is told of.
-type selection struct {
-	near, far int
-}
-
-var (
-	// selectedPeers are balancers to follow. Two of each outlive the loss of one
-	// of them, and of a zone.
-	selectedPeers = selection{near: 2, far: 2}
-	// selectedNeighbours are balancers that share the load of targets. Small
-	// systems share it among all; in large ones, where each balancer has few
-	// requests, it is a sample that bounds the messages.
-	selectedNeighbours = selection{near: 6, far: 10}
+const (
+	// peersNear and peersFar are the numbers of balancers of a balancer's own
+	// zone, and of other zones, that it is told of. Two of each outlive the
+	// loss of one of them, and of a zone.
+	peersNear = 2
+	peersFar  = 2
+	// mostNeighbours is the largest number of other balancers with which a
+	// balancer shares the load of targets. In larger systems each balancer has a
+	// request or two open at a time: what a sample of them has says little, and
+	// telling all of them costs too much.
+	mostNeighbours = 16
 )
 
 // peerFor is how long after it was last heard of a balancer counts as one that
@@ -89,9 +86,9 @@
 // choose returns the balancers that the one with the name is told of: those
 // that come after it in the order of names, so that each is told to as many
 // others as it is told of, and a change moves few choices.
-func (book *peerBook) choose(name model.NodeName, zone model.ZoneName, wanted selection) []model.NodeName {
+func (book *peerBook) choose(name model.NodeName, zone model.ZoneName) []model.NodeName {
 	var chosen []model.NodeName
-	near, far := wanted.near, wanted.far
+	near, far := peersNear, peersFar
 	start, _ := book.find(name)
 	for step := range book.known {
 		candidate := book.known[(start+step)%len(book.known)]
@@ -109,3 +106,18 @@
 	}
 	return chosen
 }
+
+// neighbours returns all balancers but the one with the name, or none when they
+// are too many.
+func (book *peerBook) neighbours(name model.NodeName) []model.NodeName {
+	if len(book.known) > mostNeighbours+1 {
+		return nil
+	}
+	others := make([]model.NodeName, 0, len(book.known))
+	for _, known := range book.known {
+		if known.Name != name {
+			others = append(others, known.Name)
+		}
+	}
+	return others
+}
--- a/internal/direct/feed/publisher.go
+++ b/internal/direct/feed/publisher.go
@@ -56,9 +56,10 @@
 	members []model.NodeName
 	peers   []model.NodeName
 	// neighbours are those that the follower was told of last.
-	neighbours []model.NodeName
-	peer       Peer
-	serves     bool
+	neighbours     []model.NodeName
+	toldNeighbours bool
+	peer           Peer
+	serves         bool
 }
 
 // Publisher is the controller that sends a node's store to balancers.
@@ -278,7 +279,7 @@
 	} else {
 		known.members = update.Members
 	}
-	if peers := publisher.peers.choose(name, known.peer.Zone, selectedPeers); !slices.Equal(known.peers, peers) {
+	if peers := publisher.peers.choose(name, known.peer.Zone); !slices.Equal(known.peers, peers) {
 		update.Peers = peers
 		known.peers = peers
 	}
@@ -294,9 +295,11 @@
 // tellNeighbours tells the follower with which balancers it shares the load of
 // targets. Members do so alone: they know of all balancers.
 func (publisher *Publisher) tellNeighbours(name model.NodeName, known *follower, update *Update) {
-	neighbours := publisher.peers.choose(name, known.peer.Zone, selectedNeighbours)
-	if !slices.Equal(known.neighbours, neighbours) {
+	neighbours := publisher.peers.neighbours(name)
+	if !known.toldNeighbours || !slices.Equal(known.neighbours, neighbours) {
+		update.NeighboursTold = true
 		update.Neighbours = neighbours
+		known.toldNeighbours = true
 		known.neighbours = neighbours
 	}
 }
--- a/internal/direct/feed/subscriber.go
+++ b/internal/direct/feed/subscriber.go
@@ -244,7 +244,7 @@
 	if len(update.Peers) > 0 {
 		subscriber.peers = update.Peers
 	}
-	if len(update.Neighbours) > 0 {
+	if update.NeighboursTold {
 		subscriber.neighbours.Store(&update.Neighbours)
 	}
 	subscriber.answered = subscriber.answered || from == subscriber.tried
