--- a/internal/direct/seeds.go
+++ b/internal/direct/seeds.go
@@ -1,6 +1,6 @@
-// Package direct has what the programs of direct services share. Its parts
-// are the packages below it: declared, directory, feed, forwarder, probe,
-// registrar and steer, and the fx modules member and balancernode.
+// Package direct has what the programs of direct services share. Its parts are
+// the packages below it; member and balancernode are the fx modules that compose
+// them.
 package direct
 
 import (
