--- a/internal/agent/limits_test.go
+++ b/internal/agent/limits_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -166,14 +167,22 @@
 }
 
 func openRequest(t *testing.T, connection *quic.Conn) *quic.Stream {
-	stream, err := connection.OpenStreamSync(t.Context())
-	require.NoError(t, err)
-	_, err = stream.Write(rawRequest)
+	stream, err := sendRequest(t, connection)
 	require.NoError(t, err)
-	require.NoError(t, stream.Close())
 	return stream
 }
 
+// sendRequest sends a request on a stream of its own. The peer may reject it
+// before it is written, which is the error then.
+func sendRequest(t *testing.T, connection *quic.Conn) (*quic.Stream, error) {
+	stream, err := connection.OpenStreamSync(t.Context())
+	require.NoError(t, err)
+	if _, err = stream.Write(rawRequest); err != nil {
+		return nil, err
+	}
+	return stream, stream.Close()
+}
+
 // A caller that does not keep to GOAWAY gets H3_REQUEST_REJECTED, which says
 // that the request did not run; the request before it runs to its end.
 func TestRequestAfterGoAwayIsRejected(t *testing.T) {
@@ -184,19 +193,24 @@
 		<-release
 		fmt.Fprint(writer, "called")
 	}))
+	unblock := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(unblock)
 	connection := rawConnection(t, fleet)
 	before := openRequest(t, connection)
 	eventually(t, func() bool { return requests.Load() == 1 })
 	fleet.setPhase(1, model.PhaseDraining)
 	eventually(t, func() bool { return !fleet.agents[0].accepts.Load() })
 	eventually(t, func() bool {
-		_, err := io.ReadAll(openRequest(t, connection))
+		stream, err := sendRequest(t, connection)
+		if err == nil {
+			_, err = io.ReadAll(stream)
+		}
 		var reset *quic.StreamError
 		require.ErrorAs(t, err, &reset)
 		return http3.ErrCode(reset.ErrorCode) == http3.ErrCodeRequestRejected
 	})
 	require.EqualValues(t, 1, requests.Load(), "a rejected request did not run")
-	close(release)
+	unblock()
 	answer, err := io.ReadAll(before)
 	require.NoError(t, err)
 	require.Contains(t, string(answer), "called")
