Ask the kernel before an idle connection to a back end is used again

Cause: the watcher of an idle connection is woken by a deadline in the past, and a passed deadline goes before input, so a close (or an answer nobody asked for) that the kernel already held was missed when the watcher had had no turn yet. Ruled out: the test's order of events (the back end closes before the next request is sent; loopback delivers the close in the same call).

--- a/internal/agent/upstream/connection.go
+++ b/internal/agent/upstream/connection.go
@@ -115,6 +115,9 @@
 	if connection.reader.Buffered() > 0 {
 		return errUnsolicited
 	}
+	if err := pendingInput(connection.raw); err != nil {
+		return err
+	}
 	return connection.raw.SetReadDeadline(time.Time{})
 }
 
