Add up the load of large systems at members; congested is a service whose flows would miss

Cause: systems of more than seventeen balancers shared no load.

Change: in a large system a balancer reports its open requests to the member that it follows; members add them up, exchange sums, and tell their balancers the sum of all while half of a service's capacity is used. Reports are two bytes a target. Bounds: a message a millisecond, 10 KB/s for each balancer, two reports a second in calm. A balancer without its member goes by its own requests. The serving time of a target that nobody measured is its service's, no longer a quarter of the objective: one balancer in a hundred hears of a target too seldom. A service is congested when half of its new flows are expected to miss their objective; before, when half found no idle target, which in large pools is so below capacity too.

--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -40,7 +40,7 @@
 	outcomesInterval = 500 * time.Millisecond
 	// requestsInterval is how often overdue requests are looked for.
 	requestsInterval = 250 * time.Millisecond
-	// loadInterval is how often the sharing of load is looked at.
+	// loadInterval is how often the sharing of load is looked at without a report.
 	loadInterval = 50 * time.Millisecond
 	// renewalsInterval is how often renewals are looked at.
 	renewalsInterval = 400 * time.Millisecond
@@ -199,7 +199,7 @@
 		board.NewRunner(parts.Reports, time.Second, parts.Reports.Sources()...),
 		board.NewRunner(parts.Tracker, outcomesInterval),
 		board.NewRunner(parts.Watcher, requestsInterval),
-		board.NewRunner(parts.Sharing.exchange, loadInterval),
+		board.NewRunner(parts.Sharing.exchange, loadInterval, parts.Sharing.exchange.Sources()...),
 		board.NewRunner(parts.Relay, renewalsInterval),
 		board.NewRunner(parts.Suspects, suspectsInterval, parts.Suspects.Sources()...),
 	}
--- a/internal/direct/balancernode/sharing.go
+++ b/internal/direct/balancernode/sharing.go
@@ -23,7 +23,12 @@
 // have keys, because a datagram proves nothing about its sender.
 func provideSharing(chosen settings.Settings, book *load.Book, table *steer.Table, subscriber *feed.Subscriber,
 	mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, connections *connections) (sharing, error) {
-	options := load.Options{Interval: chosen.Direct.LoadInterval, Neighbours: subscriber.Neighbours, Capacities: table}
+	options := load.Options{
+		Interval:   chosen.Direct.LoadInterval,
+		Neighbours: subscriber.Neighbours,
+		Collector:  subscriber.FollowedMember,
+		Capacities: table,
+	}
 	if chosen.Keys != "" || chosen.Listen == "" {
 		outlet := load.NewLinkOutlet(mailbox, connections)
 		exchange := load.NewExchange(options, book, outlet, dispatcher.Handle(load.Report{}))
--- a/internal/direct/feed/subscriber.go
+++ b/internal/direct/feed/subscriber.go
@@ -145,6 +145,16 @@
 	return name
 }
 
+// FollowedMember returns the member that is followed, or the empty name when none
+// is. It may be called from any goroutine.
+func (subscriber *Subscriber) FollowedMember() model.NodeName {
+	following := subscriber.Following()
+	if !slices.Contains(subscriber.Members(), following) {
+		return ""
+	}
+	return following
+}
+
 // Members returns the members of the control group that are known. It may be
 // called from any goroutine; the names must not be modified.
 func (subscriber *Subscriber) Members() []model.NodeName { return *subscriber.shownMembers.Load() }
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -177,7 +177,7 @@
 
 // note tells of a packet that goes to a target.
 func (forwarder *Forwarder) note(segment steer.Segment, decision steer.Decision, now time.Time) {
-	target := requests.Target{Token: decision.Token, ID: decision.ID, Capacity: decision.Capacity}
+	target := requests.Target{Token: decision.Token, ID: decision.ID, Service: decision.Service, Capacity: decision.Capacity}
 	if segment.Opening {
 		forwarder.requests.Placed(segment, target, now)
 		return
--- a/internal/direct/load/book.go
+++ b/internal/direct/load/book.go
@@ -42,6 +42,8 @@
 type Book struct {
 	shards [shardCount]shard
 	trust  trust
+	// services has the serving times of services.
+	services serviceTimes
 }
 
 var _ requests.Listener = (*Book)(nil)
@@ -88,7 +90,9 @@
 		return
 	}
 	if ending == requests.Answered {
-		known.learn(took, target.Capacity)
+		if alone, clear := known.learn(took, target.Capacity); clear {
+			book.services.learn(target.Service, alone)
+		}
 	}
 	known.own--
 }
@@ -104,20 +108,33 @@
 const learnedCrowd = 2
 
 // learn takes an answer into the serving time. A request that shared the target
-// with more than it works on at once waited for its part of the time.
-func (count *count) learn(took time.Duration, capacity int) {
+// with more than it works on at once waited for its part of the time. It returns
+// what the request would have taken alone, and false when the target was too full to
+// tell.
+func (count *count) learn(took time.Duration, capacity int) (alone float64, clear bool) {
 	crowd := max(float64(count.own+count.others)/float64(max(capacity, 1)), 1)
 	if crowd > learnedCrowd {
-		return
+		return 0, false
 	}
-	alone := float64(took) / crowd
-	if count.serving == 0 {
-		count.serving = alone
-		return
+	alone = float64(took) / crowd
+	count.serving = averaged(count.serving, alone, servingWeight)
+	return alone, true
+}
+
+// averaged returns a running average with one more value, which is the first one when
+// the average is zero.
+func averaged(average, value, weight float64) float64 {
+	if average == 0 {
+		return value
 	}
-	count.serving += servingWeight * (alone - count.serving)
+	return average + weight*(value-average)
 }
 
+// Typical returns how long a request takes on an idle target of the service, as an
+// average over its targets; zero while none answered. In a large system a balancer
+// hears of a single target now and then alone.
+func (book *Book) Typical(service string) time.Duration { return book.services.typical(service) }
+
 // Load returns the number of requests that are open at the target, and how long
 // it takes with one when it is idle, as far as is known; zero when it is not.
 // Nothing is known while this balancer does not see its flows whole.
--- a/internal/direct/load/exchange.go
+++ b/internal/direct/load/exchange.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -11,22 +10,6 @@
 	"merlinpaddle/internal/protocol"
 )
 
-// Entry has the open requests of one target at one balancer.
-type Entry struct {
-	Token directory.Token
-	Open  int
-}
-
-// Report tells another balancer all open requests of the sender. It replaces the
-// sender's report before it; targets that it does not name have none.
-type Report struct {
-	Entries []Entry
-	// Wanted tells that the sender itself finds that the load should be shared.
-	Wanted bool
-}
-
-func init() { protocol.RegisterAs("dl", Report{}) }
-
 const (
 	// pauseEach is the least time between two reports for each balancer that
 	// gets them: it bounds the messages of a balancer to 1/pauseEach a second.
@@ -34,13 +17,18 @@
 	// keepaliveInterval is the time between two reports while nothing changes.
 	keepaliveInterval = 250 * time.Millisecond
 	// silentAfter is how long after its last report the counts of a balancer
-	// are forgotten.
-	silentAfter = 700 * time.Millisecond
+	// are forgotten, and silentPauses how many pauses between reports that takes
+	// at the least.
+	silentAfter  = 700 * time.Millisecond
+	silentPauses = 3
+	// calmInterval is the time between two reports to a collector while sharing
+	// the load is not worth more.
+	calmInterval = 500 * time.Millisecond
 	// forgetInterval is the time between two searches for idle targets.
 	forgetInterval = 10 * time.Second
 )
 
-// Outlet sends reports to other balancers. Reports may be lost.
+// Outlet sends reports to other nodes. Reports may be lost.
 type Outlet interface {
 	// Tell sends the report to the nodes. It must return at once, and keep
 	// nothing of the report.
@@ -59,20 +47,26 @@
 	// Interval is the least time between two reports; zero tells nobody and
 	// hears nobody.
 	Interval time.Duration
-	// Neighbours returns the balancers to tell.
+	// Neighbours returns the balancers to tell; none in a large system, whose
+	// balancers tell a collector.
 	Neighbours func() []model.NodeName
+	// Collector returns the member that collects this balancer's reports, or the
+	// empty name when it reaches none. It may be nil.
+	Collector func() model.NodeName
 	// Capacities is asked for the capacity of services.
 	Capacities Capacities
 }
 
-// heard is what another balancer told last.
+// heard is what another node told last, which counts until a while later.
 type heard struct {
-	entries []Entry
-	at      time.Time
+	entries Entries
+	until   time.Time
 }
 
 // Exchange is the controller that tells other balancers of this one's open
-// requests, and takes theirs into the book.
+// requests, and takes theirs into the book. In a small system balancers tell each
+// other; in a large one each tells a collector, which answers with the open
+// requests of all.
 type Exchange struct {
 	options Options
 	book    *Book
@@ -81,10 +75,14 @@
 	reports *board.Queue[protocol.Envelope]
 	demand  demand
 	heard   map[model.NodeName]*heard
+	// collects tells that the system is large, and pause how long the collector
+	// wants balancers to wait between two reports.
+	collects bool
+	pause    time.Duration
 	// entries are this balancer's open requests, and told those that were sent
 	// last, at toldAt. Their memory is used again, so that looking costs none.
-	entries     []Entry
-	told        []Entry
+	entries     Entries
+	told        Entries
 	openBy      map[string]int
 	toldAt      time.Time
 	forgottenAt time.Time
@@ -101,6 +99,11 @@
 // Name implements board.Controller.
 func (exchange *Exchange) Name() string { return "load" }
 
+// Sources returns the channels whose notices call for a Reconcile.
+func (exchange *Exchange) Sources() []<-chan struct{} {
+	return []<-chan struct{}{exchange.reports.Watch()}
+}
+
 // Reconcile implements board.Controller.
 func (exchange *Exchange) Reconcile(now time.Time) {
 	envelopes := exchange.reports.Drain()
@@ -111,22 +114,62 @@
 	if exchange.options.Interval == 0 {
 		return
 	}
+	neighbours := exchange.options.Neighbours()
+	exchange.setMode(len(neighbours) == 0)
 	for _, envelope := range envelopes {
 		report, _ := envelope.Message.(Report)
-		exchange.take(envelope.From, sound(report.Entries), now)
-		if report.Wanted {
-			exchange.demand.heardAt = now
-		}
+		exchange.takeReport(envelope.From, report, now)
 	}
 	exchange.dropSilent(now)
-	neighbours := exchange.options.Neighbours()
 	exchange.entries = exchange.book.appendOwn(exchange.entries[:0])
+	if exchange.collects {
+		exchange.tellCollector(now)
+		return
+	}
 	exchange.demand.observe(exchange.utilization(len(neighbours)+1), now)
 	if exchange.demand.high(now) {
 		exchange.tell(neighbours, now)
 	}
 }
 
+// setMode forgets all that others told when the system becomes large or small:
+// a collector's report has the counts of the others too.
+func (exchange *Exchange) setMode(collects bool) {
+	if collects == exchange.collects {
+		return
+	}
+	exchange.collects = collects
+	exchange.forgetOthers("")
+}
+
+// forgetOthers forgets what nodes told, but for the one with the name.
+func (exchange *Exchange) forgetOthers(kept model.NodeName) {
+	for name, known := range exchange.heard {
+		if name != kept {
+			exchange.replace(known.entries, nil)
+			delete(exchange.heard, name)
+		}
+	}
+}
+
+// takeReport takes a report in when it is of the kind that counts now.
+func (exchange *Exchange) takeReport(from model.NodeName, report Report, now time.Time) {
+	switch {
+	case report.Scope == ScopeBalancer && !exchange.collects:
+		exchange.take(from, report.Entries.sound(), now.Add(silentAfter))
+	case report.Scope == ScopeSystem && exchange.collects:
+		exchange.pause = min(report.Pause, longestPause)
+		exchange.forgetOthers(from)
+		silent := max(silentAfter, silentPauses*exchange.pause)
+		exchange.take(from, report.Entries.sound().without(exchange.told), now.Add(silent))
+	default:
+		return
+	}
+	if report.Wanted {
+		exchange.demand.heardAt = now
+	}
+}
+
 // utilization estimates the open requests of the busiest service by its
 // capacity, as if all balancers had as many as this one.
 func (exchange *Exchange) utilization(balancers int) float64 {
@@ -144,8 +187,8 @@
 	return highest
 }
 
-// take replaces what a balancer told before.
-func (exchange *Exchange) take(from model.NodeName, entries []Entry, now time.Time) {
+// take replaces what a node told before.
+func (exchange *Exchange) take(from model.NodeName, entries Entries, until time.Time) {
 	known := exchange.heard[from]
 	if known == nil {
 		known = &heard{}
@@ -153,21 +196,11 @@
 	}
 	exchange.replace(known.entries, entries)
 	known.entries = entries
-	known.at = now
-}
-
-// maximumOpen is the largest count that is believed.
-const maximumOpen = 1 << 20
-
-// sound returns the entries that another balancer can mean.
-func sound(entries []Entry) []Entry {
-	return slices.DeleteFunc(entries, func(entry Entry) bool {
-		return entry.Token == 0 || entry.Open <= 0 || entry.Open > maximumOpen
-	})
+	known.until = until
 }
 
 // replace takes former counts out of the book and puts new ones in.
-func (exchange *Exchange) replace(former, entries []Entry) {
+func (exchange *Exchange) replace(former, entries Entries) {
 	for _, entry := range entries {
 		exchange.book.add(entry.Token, 0, entry.Open)
 	}
@@ -176,10 +209,10 @@
 	}
 }
 
-// dropSilent forgets the counts of balancers that tell nothing any more.
+// dropSilent forgets the counts of nodes that tell nothing any more.
 func (exchange *Exchange) dropSilent(now time.Time) {
 	for name, known := range exchange.heard {
-		if now.Sub(known.at) > silentAfter {
+		if now.After(known.until) {
 			exchange.replace(known.entries, nil)
 			delete(exchange.heard, name)
 		}
@@ -193,7 +226,7 @@
 	if since < pause || len(neighbours) == 0 {
 		return
 	}
-	slices.SortFunc(exchange.entries, func(left, right Entry) int { return cmp.Compare(left.Token, right.Token) })
+	exchange.entries.sort()
 	same := slices.Equal(exchange.entries, exchange.told)
 	if same && (since < keepaliveInterval || len(exchange.entries) == 0) {
 		return
@@ -202,3 +235,24 @@
 	exchange.toldAt = now
 	exchange.outlet.Tell(neighbours, Report{Entries: exchange.told, Wanted: exchange.demand.found(now)})
 }
+
+// tellCollector sends the open requests to the collector, now and then while the
+// load is low, and as often as it wants while sharing is worth it.
+func (exchange *Exchange) tellCollector(now time.Time) {
+	if exchange.options.Collector == nil {
+		return
+	}
+	collector := exchange.options.Collector()
+	pause := calmInterval
+	if exchange.demand.high(now) {
+		pause = max(exchange.options.Interval, exchange.pause)
+	}
+	nothing := len(exchange.entries) == 0 && len(exchange.told) == 0
+	if collector == "" || nothing || now.Sub(exchange.toldAt) < pause {
+		return
+	}
+	exchange.entries.sort()
+	exchange.told, exchange.entries = exchange.entries, exchange.told
+	exchange.toldAt = now
+	exchange.outlet.Tell([]model.NodeName{collector}, Report{Entries: exchange.told})
+}
--- a/internal/direct/load/links.go
+++ b/internal/direct/load/links.go
@@ -59,3 +59,19 @@
 }
 
 func (outlet *LinkOutlet) dials(node model.NodeName) bool { return outlet.mailbox.Self < node }
+
+// MailboxOutlet sends reports over links that stand for other reasons, as those of
+// members with each other and with their balancers do.
+type MailboxOutlet struct {
+	Mailbox *protocol.Mailbox
+}
+
+var _ Outlet = MailboxOutlet{}
+
+// Tell implements Outlet.
+func (outlet MailboxOutlet) Tell(nodes []model.NodeName, report Report) {
+	report.Entries = slices.Clone(report.Entries)
+	for _, node := range nodes {
+		outlet.Mailbox.Send(node, report)
+	}
+}
--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -2,7 +2,7 @@
 // services.
 //
 // It provides model.Role, *directory.Directory, *replica.Controller,
-// *replica.Node and *registrar.Calls, includes transport.Module, and needs
+// *replica.Node, collecting and *registrar.Calls, includes transport.Module, and needs
 // what the process base provides.
 package member
 
@@ -42,6 +42,9 @@
 	proposerInterval = 25 * time.Millisecond
 	// reconfigureInterval is how often the membership is looked at.
 	reconfigureInterval = 100 * time.Millisecond
+	// loadInterval is how often it is looked whether the load of targets is to be
+	// added up.
+	loadInterval = 20 * time.Millisecond
 	// connectInterval is how often connections follow the membership.
 	connectInterval = 100 * time.Millisecond
 	// missedNumerator and missedDenominator tell how many renewal intervals
@@ -81,6 +84,7 @@
 			provideCalls,
 			provideHealth,
 			providePublisher,
+			provideCollecting,
 			provideReconfigure,
 		),
 		fx.Provide(newMetrics),
@@ -185,6 +189,7 @@
 	Proposer    *registrar.Proposer
 	Health      *registrar.Health
 	Publisher   *feed.Publisher
+	Collecting  collecting
 	Reconfigure *reconfigure.Controller
 	Times       *times
 	Reloads     *process.Reloads
@@ -201,12 +206,14 @@
 		board.NewRunner(parts.Proposer, proposerInterval, append(parts.Proposer.Sources(), parts.Node.Watch())...),
 		board.NewRunner(parts.Health, healthInterval, parts.Health.Sources()...),
 		board.NewRunner(parts.Publisher, publishInterval, append(parts.Publisher.Sources(), parts.Node.Watch())...),
+		board.NewRunner(parts.Collecting.collector, loadInterval),
 		board.NewRunner(parts.Reconfigure, reconfigureInterval),
 		board.NewRunner(connections, connectInterval),
 	}
 	parts.Lifecycle.Append(fx.StartStopHook(
 		func() {
 			parts.Tasks.Go("consensus", parts.Node.Run)
+			parts.Tasks.Go("load reports", parts.Collecting.run)
 			for _, runner := range runners {
 				parts.Tasks.Go("controller", func(ctx context.Context) error {
 					runner.Run(ctx)
--- a/internal/direct/requests/watcher.go
+++ b/internal/direct/requests/watcher.go
@@ -38,6 +38,8 @@
 type Target struct {
 	Token directory.Token
 	ID    directory.TargetID
+	// Service is the target's service.
+	Service string
 	// Capacity is the number of requests that the target works on at once.
 	Capacity int
 }
--- a/internal/direct/steer/admission_test.go
+++ b/internal/direct/steer/admission_test.go
@@ -14,11 +14,16 @@
 type busy struct {
 	open    int
 	serving time.Duration
+	// typical is the serving time of the service.
+	typical time.Duration
 }
 
 // Load implements Loads.
 func (busy *busy) Load(directory.Token) (int, time.Duration) { return busy.open, busy.serving }
 
+// Typical implements Loads.
+func (busy *busy) Typical(string) time.Duration { return busy.typical }
+
 // objective is that of the test's urgent route.
 const objective = 200 * time.Millisecond
 
@@ -72,15 +77,17 @@
 		change   func(options *Options)
 		reason   Reason
 	}{
-		{"more than the objective allows", busy{5, 50 * time.Millisecond}, long, to(443), nil, ReasonOverloaded},
-		{"a passing backlog", busy{5, 50 * time.Millisecond}, congestionSpan / 2, to(443), nil, ReasonChosen},
-		{"as much as the objective allows", busy{3, 50 * time.Millisecond}, long, to(443), nil, ReasonChosen},
-		{"a quick service", busy{5, 30 * time.Millisecond}, long, to(443), nil, ReasonChosen},
-		{"a serving time that nobody knows", busy{5, 0}, long, to(443), nil, ReasonOverloaded},
-		{"a slow service with an idle target", busy{1, time.Minute}, long, to(443), nil, ReasonChosen},
-		{"less urgent", busy{3, 50 * time.Millisecond}, long, to(444), nil, ReasonOverloaded},
-		{"no objective", busy{50, 50 * time.Millisecond}, long, Segment{Caller: opening(9).Caller, Service: noRoute, Opening: true}, nil, ReasonChosen},
-		{"admission switched off", busy{50, time.Second}, long, to(443), func(options *Options) { options.AdmitShare = 0 }, ReasonChosen},
+		{"more than the objective allows", busy{open: 5, serving: 50 * time.Millisecond}, long, to(443), nil, ReasonOverloaded},
+		{"a passing backlog", busy{open: 5, serving: 50 * time.Millisecond}, congestionSpan / 2, to(443), nil, ReasonChosen},
+		{"as much as the objective allows", busy{open: 3, serving: 50 * time.Millisecond}, long, to(443), nil, ReasonChosen},
+		{"a quick service", busy{open: 5, serving: 30 * time.Millisecond}, long, to(443), nil, ReasonChosen},
+		{"a serving time that nobody knows", busy{open: 5, serving: 0}, long, to(443), nil, ReasonOverloaded},
+		{"a quick service whose target is not known", busy{open: 5, typical: 30 * time.Millisecond}, long, to(443), nil, ReasonChosen},
+		{"a slow service whose target is not known", busy{open: 5, typical: 50 * time.Millisecond}, long, to(443), nil, ReasonOverloaded},
+		{"a slow service with an idle target", busy{open: 1, serving: time.Minute}, long, to(443), nil, ReasonChosen},
+		{"less urgent", busy{open: 3, serving: 50 * time.Millisecond}, long, to(444), nil, ReasonOverloaded},
+		{"no objective", busy{open: 50, serving: 50 * time.Millisecond}, long, Segment{Caller: opening(9).Caller, Service: noRoute, Opening: true}, nil, ReasonChosen},
+		{"admission switched off", busy{open: 50, serving: time.Second}, long, to(443), func(options *Options) { options.AdmitShare = 0 }, ReasonChosen},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/direct/steer/choices_test.go
+++ b/internal/direct/steer/choices_test.go
@@ -15,6 +15,8 @@
 // Load implements Loads.
 func (loads loads) Load(token directory.Token) (int, time.Duration) { return loads[token], 0 }
 
+func (loads loads) Typical(string) time.Duration { return 0 }
+
 // loadedTable returns a table of count targets of capacity two that chooses
 // among candidates by their load.
 func loadedTable(t testing.TB, count, candidates int, open loads) *Table {
--- a/internal/direct/steer/congestion.go
+++ b/internal/direct/steer/congestion.go
@@ -9,14 +9,14 @@
 const (
 	// congestionSpan is the time over which new flows of a service are averaged.
 	congestionSpan = 2 * time.Second
-	// congestedFrom is the part of new flows without an idle target from which a
-	// service counts as congested. A backlog that goes away by itself, as after an
-	// outage, stays below.
+	// congestedFrom is the part of new flows that are expected to miss their
+	// objective from which a service counts as congested. A backlog that goes away
+	// by itself, as after an outage, stays below.
 	congestedFrom = 0.5
 )
 
 // congestion tells a lasting lack of capacity from a passing one, by how many
-// new flows of a service lately found no idle target. Refusing helps against the
+// new flows of a service were lately expected to miss their objective. Refusing helps against the
 // first: what is let in is served in time. In the second, what is late is still
 // served. The idea is that of controlled delay (Nichols and Jacobson, 2012): only
 // a queue that does not drain is a reason to drop.
@@ -26,9 +26,9 @@
 	at    time.Time
 }
 
-// observe takes in whether a new flow found no idle target, and returns whether
-// the service is congested.
-func (congestion *congestion) observe(full bool, now time.Time) bool {
+// observe takes in whether a new flow is expected to miss its objective, and returns
+// whether the service is congested.
+func (congestion *congestion) observe(late bool, now time.Time) bool {
 	congestion.lock.Lock()
 	defer congestion.lock.Unlock()
 	passed := max(now.Sub(congestion.at), 0)
@@ -38,7 +38,7 @@
 	congestion.at = now
 	kept := math.Exp(-float64(passed) / float64(congestionSpan))
 	congestion.level *= kept
-	if full {
+	if late {
 		congestion.level += 1 - kept
 	}
 	return congestion.level >= congestedFrom
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -77,7 +77,7 @@
 }
 
 func forwardTo(target *record, reason Reason) Decision {
-	return Decision{Action: Forward, Reason: reason, Token: target.Token, ID: target.ID, Target: target.Address, Capacity: target.Capacity}
+	return Decision{Action: Forward, Reason: reason, Token: target.Token, ID: target.ID, Target: target.Address, Service: target.Service, Capacity: target.Capacity}
 }
 
 // open chooses a target for an opening packet. Copies go to another choice: the
@@ -98,8 +98,8 @@
 	chosen, former := choices.pick(segment)
 	open, serving := table.loadOf(chosen)
 	expected := chosen.expected(open, serving, route.objective)
-	congested := service.congestion.observe(open >= chosen.slots(), now)
-	if congested && open >= chosen.slots() && table.exceeds(expected, route) {
+	late := open >= chosen.slots() && table.exceeds(expected, route)
+	if service.congestion.observe(late, now) && late {
 		return Decision{Action: Reset, Reason: ReasonOverloaded, ID: chosen.ID, Open: open, Expected: expected}
 	}
 	decision := forwardTo(chosen, ReasonChosen)
@@ -115,7 +115,11 @@
 	if table.options.Loads == nil {
 		return 0, 0
 	}
-	return table.options.Loads.Load(target.Token)
+	open, serving = table.options.Loads.Load(target.Token)
+	if serving == 0 {
+		serving = table.options.Loads.Typical(target.Service)
+	}
+	return open, serving
 }
 
 // choose picks the part of the pool by weight.
--- a/internal/direct/steer/options.go
+++ b/internal/direct/steer/options.go
@@ -38,6 +38,9 @@
 	// Load returns the number of requests that are open at the target, and how
 	// long it takes with one when it is idle; zero when that is not known.
 	Load(token directory.Token) (open int, serving time.Duration)
+	// Typical returns how long a request takes at an idle target of the service;
+	// zero when that is not known.
+	Typical(service string) time.Duration
 }
 
 // DefaultOptions returns the bounds of processes.
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -123,6 +123,8 @@
 	Token  directory.Token
 	ID     directory.TargetID
 	Target netip.AddrPort
+	// Service is the target's service.
+	Service string
 	// Capacity is the number of requests that the target works on at once.
 	Capacity int
 	// Suspect is the token of the target that did not answer the former copy
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,8 +67,9 @@
 	// of a new flow may be expected to take; a flow that would take longer waits
 	// for room and is refused then. Zero admits all flows.
 	LoadAdmission float64 `koanf:"load_admission" validate:"min=0,max=10"`
-	// LoadInterval is the least time between two reports of a balancer's open
-	// requests to other balancers; zero shares none.
+	// LoadInterval is the least time between two reports of open requests, of
+	// balancers to each other or, in a large system, to members and back; zero
+	// shares none.
 	LoadInterval time.Duration `koanf:"load_interval" validate:"min=0,max=1000000000"`
 	// Renewals is the address on which a balancer takes renewals of targets
 	// that members hand over; empty takes none.
@@ -345,7 +346,7 @@
 			PeerFollowers:     16,
 			LoadCandidates:    3,
 			LoadAdmission:     0.6,
-			LoadInterval:      100 * time.Millisecond,
+			LoadInterval:      40 * time.Millisecond,
 			RenewalsPerSecond: 40,
 			ToleratedLosses:   1,
 			ElectionTimeout:   400 * time.Millisecond,
--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -83,7 +83,10 @@
 	balancer.subscriber = subscriber
 	tracker := outcome.NewTracker(mailbox, subscriber.Following)
 	balancer.watcher = requests.NewWatcher(tracker, book)
-	sharing := load.Options{Interval: loadInterval, Neighbours: subscriber.Neighbours, Capacities: balancer.table}
+	sharing := load.Options{
+		Interval: loadInterval, Neighbours: subscriber.Neighbours,
+		Collector: subscriber.FollowedMember, Capacities: balancer.table,
+	}
 	exchange := load.NewExchange(sharing, book, load.NewLinkOutlet(mailbox, noConnector{}), dispatcher.Handle(load.Report{}))
 	balancer.suspects = forwarder.NewSuspects(balancer.table, balancer.world.prober(balancer.process), mailbox, subscriber.Following, zap.NewNop())
 	return kernel.Program{
@@ -129,7 +132,7 @@
 	}
 	switch decision.Action {
 	case steer.Forward:
-		target := requests.Target{Token: decision.Token, ID: decision.ID, Capacity: decision.Capacity}
+		target := requests.Target{Token: decision.Token, ID: decision.ID, Service: decision.Service, Capacity: decision.Capacity}
 		if segment.Opening {
 			balancer.watcher.Placed(segment, target, now)
 		} else {
--- a/internal/sim/directworld/member.go
+++ b/internal/sim/directworld/member.go
@@ -10,6 +10,7 @@
 	"merlinpaddle/internal/board"
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
+	"merlinpaddle/internal/direct/load"
 	"merlinpaddle/internal/direct/probe"
 	"merlinpaddle/internal/direct/registrar"
 	"merlinpaddle/internal/filesystem/memory"
@@ -91,10 +92,15 @@
 	}, mailbox, dispatcher, group, member.Directory, renewed, world.prober(member.process), zap.NewNop())
 	publisher := feed.NewPublisher(feed.PublisherOptions{Limit: world.options.Followers, TellsMembers: true},
 		mailbox, dispatcher, member.Directory, memberSource{member: member})
+	collecting := load.CollectorOptions{
+		Interval: loadInterval, Members: memberSource{member: member}.Members,
+		Capacities: directory.NewCapacityIndex(member.Directory),
+	}
+	collector := load.NewCollector(mailbox.Self, collecting, load.MailboxOutlet{Mailbox: mailbox}, dispatcher.Handle(load.Report{}))
 	keeper := reconfigure.New(reconfigure.DefaultOptions(world.options.ToleratedLosses), group, zap.NewNop())
 	return kernel.Program{
 		Mailbox:     mailbox,
-		Controllers: []board.Controller{dispatcher, group, proposer, health, publisher, keeper},
+		Controllers: []board.Controller{dispatcher, group, proposer, health, publisher, collector, keeper},
 		Stop:        func() { member.Registrar = nil },
 	}
 }
