Give new flows to new targets at once: the settle time is worth nothing

Packets with a token that a balancer does not know yet wait there for its next table, which does the same work; a new test of the forwarder demands it for an unknown target.

--- a/internal/direct/forwarder/forwarder_test.go
+++ b/internal/direct/forwarder/forwarder_test.go
@@ -241,6 +241,22 @@
 	require.Equal(t, 1, rig.counter.count(steer.ReasonChosen))
 }
 
+// A flow that another balancer opened to a target which is new there waits here until
+// this balancer learns of the target.
+func TestPacketsWaitForATargetThatIsNotKnownYet(t *testing.T) {
+	rig := newRig(t)
+	rig.learn(1, directory.TargetReady)
+	data := packetOf(kindData, portOf(rig.caller), servicePort, 8)
+	rig.send(data)
+	require.Eventually(t, func() bool { return rig.counter.count(steer.ReasonUnknownToken) == 1 }, conditionTimeout, time.Millisecond)
+	added := directory.Changes{From: 1, To: 2, Version: 1, Targets: []directory.TargetEntry{{
+		Token: 8, ID: 80, Service: "feed", State: directory.TargetReady, Capacity: 1, Address: loopback(portOf(rig.target)),
+	}}}
+	require.True(t, rig.table.Apply(added, time.Now()))
+	require.Equal(t, byte(kindData), rig.receive(rig.target)[headroom])
+	require.Equal(t, 1, rig.counter.count(steer.ReasonOwner))
+}
+
 func TestParkingIsBoundedInTimeAndNumber(t *testing.T) {
 	parking := newParking()
 	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/direct/steer/apply.go
+++ b/internal/direct/steer/apply.go
@@ -54,15 +54,14 @@
 	}
 }
 
-// mergeTargets adds or changes targets. settled tells that the entries come
-// with the balancer's first table, so others know their tokens already.
-func (table *Table) mergeTargets(entries []directory.TargetEntry, now time.Time, settled bool) {
+// mergeTargets adds or changes targets. first tells that the entries come with the
+// balancer's first table, so that nobody knows how long ago they started.
+func (table *Table) mergeTargets(entries []directory.TargetEntry, now time.Time, first bool) {
 	for _, entry := range entries {
 		known := table.targets[entry.Token]
 		if known == nil {
 			known = &record{seed: seedOf(entry.ID)}
-			if !settled {
-				known.usableAt = now.Add(table.options.SettleTime)
+			if !first {
 				known.warmAt = now.Add(entry.Cold)
 			}
 			table.targets[entry.Token] = known
--- a/internal/direct/steer/choices.go
+++ b/internal/direct/steer/choices.go
@@ -113,7 +113,7 @@
 }
 
 // rank fills choices with the best targets for the hash, by weighted rendezvous
-// hashing. Targets that are just learned or avoided are left out while others are
+// hashing. Targets that are avoided are left out while others are
 // there.
 func (service *service) rank(hash uint64, now time.Time, options Options, choices *choices) {
 	for _, target := range service.targets {
@@ -130,7 +130,7 @@
 }
 
 func (target *record) usable(now time.Time) bool {
-	return !target.Aside && !now.Before(target.usableAt) && !now.Before(target.avoidUntil)
+	return !target.Aside && !now.Before(target.avoidUntil)
 }
 
 // score is the target's place in weighted rendezvous hashing: the target with
--- a/internal/direct/steer/options.go
+++ b/internal/direct/steer/options.go
@@ -8,9 +8,6 @@
 
 // Options are the bounds that a table works with.
 type Options struct {
-	// SettleTime is how long a target that was just learned gets no new
-	// flows, so that every balancer knows its token by then.
-	SettleTime time.Duration
 	// FreshFor is how long after the last sign of a confirmed member the table
 	// counts as current.
 	FreshFor time.Duration
@@ -46,7 +43,6 @@
 // DefaultOptions returns the bounds of processes.
 func DefaultOptions() Options {
 	return Options{
-		SettleTime: 250 * time.Millisecond,
 		FreshFor:   1500 * time.Millisecond,
 		AvoidFor:   3 * time.Second,
 		NearWeight: 4,
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -19,8 +19,6 @@
 	seed uint64
 	// near tells that the target is in the balancer's zone.
 	near bool
-	// usableAt is when the target may get new flows.
-	usableAt time.Time
 	// warmAt is when the target is no longer slow from its start.
 	warmAt time.Time
 	// avoidUntil is set when a probe found the target dead.
