Say when the load begins and ends to be shared

A line "load sharing changed" and the gauge merlinpaddle_direct_load_shared, at balancers and members: an engineer on call could not see it. The explanation of a refused flow names the rule of congestion as it is now.

--- a/internal/direct/balancernode/sharing.go
+++ b/internal/direct/balancernode/sharing.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/load"
 	"merlinpaddle/internal/direct/load/datagram"
@@ -22,12 +25,14 @@
 // provideSharing makes reports go as datagrams, or over links where processes
 // have keys, because a datagram proves nothing about its sender.
 func provideSharing(chosen settings.Settings, book *load.Book, table *steer.Table, subscriber *feed.Subscriber,
-	mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, connections *connections) (sharing, error) {
+	mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, connections *connections,
+	registry *prometheus.Registry, logger *zap.Logger) (sharing, error) {
 	options := load.Options{
 		Interval:   chosen.Direct.LoadInterval,
 		Neighbours: subscriber.Neighbours,
 		Collector:  subscriber.FollowedMember,
 		Capacities: table,
+		OnChange:   load.Announce(registry, logger.Named("load")),
 	}
 	if chosen.Keys != "" || chosen.Listen == "" {
 		outlet := load.NewLinkOutlet(mailbox, connections)
--- a/internal/direct/load/collector.go
+++ b/internal/direct/load/collector.go
@@ -31,6 +31,9 @@
 	Members func() []model.NodeName
 	// Capacities is asked for the capacity of services.
 	Capacities Capacities
+	// OnChange, when it is not nil, is called when the load begins to be shared, and
+	// when it ends.
+	OnChange func(sharing Sharing)
 }
 
 // Collector is the controller that adds up, at a member of the control group of a
@@ -46,6 +49,8 @@
 	outlet  Outlet
 	reports *board.Queue[protocol.Envelope]
 	demand  demand
+	// announced tells of changes of demand.
+	announced announcer
 	// balancers and members are what those told last.
 	balancers map[model.NodeName]heard
 	members   map[model.NodeName]heard
@@ -63,6 +68,7 @@
 		self: self, options: options, outlet: outlet, reports: reports,
 		balancers: make(map[model.NodeName]heard), members: make(map[model.NodeName]heard),
 		own: make(map[directory.Token]int), all: make(map[directory.Token]int),
+		announced: announcer{onChange: options.OnChange},
 	}
 }
 
@@ -81,6 +87,10 @@
 	}
 	dropSilent(collector.balancers, now)
 	dropSilent(collector.members, now)
+	collector.announced.announce(Sharing{
+		Shared: collector.demand.high(now), Utilization: collector.demand.average,
+		Nodes: len(collector.balancers) + len(collector.members),
+	})
 	if len(collector.balancers) == 0 || now.Sub(collector.toldAt) < collector.pause(now) {
 		return
 	}
--- a/internal/direct/load/collector_test.go
+++ b/internal/direct/load/collector_test.go
@@ -163,6 +163,9 @@
 
 func TestSharingEndsWithTheLoad(t *testing.T) {
 	site := newSite(2, 20, 10)
+	var atMember, atBalancer []bool
+	site.members["m0"].collector.announced.onChange = func(sharing Sharing) { atMember = append(atMember, sharing.Shared) }
+	site.balancers[0].exchange.announced.onChange = func(sharing Sharing) { atBalancer = append(atBalancer, sharing.Shared) }
 	for _, balancer := range site.balancers {
 		begin(balancer, 7, 1)
 	}
@@ -174,6 +177,8 @@
 	clear(site.sent)
 	site.run(time.Minute)
 	require.Empty(t, site.sent)
+	require.Equal(t, []bool{true, false}, atMember, "each change is announced once")
+	require.Equal(t, []bool{true, false}, atBalancer)
 }
 
 // Counts of the two ways to share never add up.
--- a/internal/direct/load/demand.go
+++ b/internal/direct/load/demand.go
@@ -17,6 +17,33 @@
 	demandLasts = 3 * time.Second
 )
 
+// Sharing tells whether a node shares the load of targets, and what it knows of it.
+type Sharing struct {
+	// Shared tells whether reports are sent often.
+	Shared bool
+	// Utilization is the average use of the busiest service by its capacity, as far
+	// as the node itself looks.
+	Utilization float64
+	// Nodes is the number of other nodes whose counts are known.
+	Nodes int
+}
+
+// announcer calls a function with each change of whether load is shared.
+type announcer struct {
+	onChange func(sharing Sharing)
+	shared   bool
+}
+
+func (announcer *announcer) announce(sharing Sharing) {
+	if sharing.Shared == announcer.shared {
+		return
+	}
+	announcer.shared = sharing.Shared
+	if announcer.onChange != nil {
+		announcer.onChange(sharing)
+	}
+}
+
 // demand decides whether sharing the load is worth its messages. A balancer
 // shares while it finds so itself, or hears from one that does; what it merely
 // heard it does not pass on, so that sharing ends once nobody finds it worth it.
--- a/internal/direct/load/exchange.go
+++ b/internal/direct/load/exchange.go
@@ -55,6 +55,9 @@
 	Collector func() model.NodeName
 	// Capacities is asked for the capacity of services.
 	Capacities Capacities
+	// OnChange, when it is not nil, is called when the load begins to be shared, and
+	// when it ends.
+	OnChange func(sharing Sharing)
 }
 
 // heard is what another node told last, which counts until a while later.
@@ -74,7 +77,9 @@
 	// reports has the envelopes with reports of other balancers.
 	reports *board.Queue[protocol.Envelope]
 	demand  demand
-	heard   map[model.NodeName]*heard
+	// announced tells of changes of demand.
+	announced announcer
+	heard     map[model.NodeName]*heard
 	// collects tells that the system is large, and pause how long the collector
 	// wants balancers to wait between two reports.
 	collects bool
@@ -93,6 +98,7 @@
 	return &Exchange{
 		options: options, book: book, outlet: outlet, reports: reports,
 		heard: make(map[model.NodeName]*heard), openBy: make(map[string]int),
+		announced: announcer{onChange: options.OnChange},
 	}
 }
 
@@ -124,8 +130,16 @@
 	exchange.entries = exchange.book.appendOwn(exchange.entries[:0])
 	if exchange.collects {
 		exchange.tellCollector(now)
-		return
+	} else {
+		exchange.tellNeighbours(neighbours, now)
 	}
+	exchange.announced.announce(Sharing{
+		Shared: exchange.demand.high(now), Utilization: exchange.demand.average, Nodes: len(exchange.heard),
+	})
+}
+
+// tellNeighbours tells the other balancers of a small system while it is worth it.
+func (exchange *Exchange) tellNeighbours(neighbours []model.NodeName, now time.Time) {
 	exchange.demand.observe(exchange.utilization(len(neighbours)+1), now)
 	if exchange.demand.high(now) {
 		exchange.tell(neighbours, now)
--- a/internal/direct/member/collecting.go
+++ b/internal/direct/member/collecting.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/load"
 	"merlinpaddle/internal/direct/load/datagram"
@@ -22,12 +25,13 @@
 // provideCollecting makes reports go the way that those of balancers do: as
 // datagrams, or over links where processes have keys.
 func provideCollecting(chosen settings.Settings, state *directory.Directory, group *replica.Controller,
-	mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher) (collecting, error) {
+	mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher, registry *prometheus.Registry, logger *zap.Logger) (collecting, error) {
 	self := model.NodeName(chosen.Node)
 	options := load.CollectorOptions{
 		Interval:   chosen.Direct.LoadInterval,
 		Members:    memberSource{group: group}.Members,
 		Capacities: directory.NewCapacityIndex(state),
+		OnChange:   load.Announce(registry, logger.Named("load")),
 	}
 	if chosen.Keys != "" || chosen.Listen == "" {
 		collector := load.NewCollector(self, options, load.MailboxOutlet{Mailbox: mailbox}, dispatcher.Handle(load.Report{}))
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -12,7 +12,7 @@
 	case last.Message == messageReset && last.Reason == "target_failed":
 		return "The flow was reset because its target was found dead. " + story.failure(lines)
 	case last.Message == messageReset && last.Reason == "overloaded":
-		return fmt.Sprintf("The flow was refused before it opened: its service had no idle target for long, and the least busy one, "+
+		return fmt.Sprintf("The flow was refused before it opened: half of the new flows of its service were expected to miss their objective, and the least busy one, "+
 			"target %x, had %d open requests, so an answer was expected after %s only.", last.Target, last.Open, last.Expected)
 	case last.Message == messageReset:
 		return fmt.Sprintf("The flow was reset: no route has the address %s in version %d.", last.Route, last.Version)
