Tell balancers the load in the order of their names

Cause: the collector told its balancers in the order of a map. It sorts them now, at which a new test fails before.

--- a/internal/direct/load/collector.go
+++ b/internal/direct/load/collector.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"merlinpaddle/internal/board"
@@ -182,11 +184,7 @@
 	if !collector.demand.high(now) {
 		return
 	}
-	balancers := make([]model.NodeName, 0, len(collector.balancers))
-	for name := range collector.balancers {
-		balancers = append(balancers, name)
-	}
-	collector.outlet.Tell(balancers, Report{
+	collector.outlet.Tell(slices.Sorted(maps.Keys(collector.balancers)), Report{
 		Scope: ScopeSystem, Entries: entriesOf(collector.all), Wanted: true, Pause: collector.pause(now),
 	})
 }
--- a/internal/direct/load/collector_test.go
+++ b/internal/direct/load/collector_test.go
@@ -240,3 +240,27 @@
 	require.Zero(t, site.sent["m0"])
 	require.Zero(t, openAt(site.balancers[1], 7))
 }
+
+// outletOf keeps the nodes of the reports that it is given.
+type outletOf struct{ told [][]model.NodeName }
+
+// Tell implements Outlet.
+func (outlet *outletOf) Tell(nodes []model.NodeName, _ Report) {
+	outlet.told = append(outlet.told, nodes)
+}
+
+// Simulations repeat exactly only when nodes are told in an order of their own.
+func TestACollectorTellsInOrder(t *testing.T) {
+	collector := newSite(2, 0, 1).members["m0"].collector
+	outlet := &outletOf{}
+	collector.outlet = outlet
+	collector.demand.foundAt = start
+	var want []model.NodeName
+	for number := range 50 {
+		name := model.NodeName(fmt.Sprintf("b%02d", number))
+		want = append(want, name)
+		collector.take(name, Report{Entries: Entries{{Token: 1, Open: 1}}}, start)
+	}
+	collector.Reconcile(start)
+	require.Equal(t, [][]model.NodeName{{"m1"}, want}, outlet.told)
+}
