--- a/internal/direct/load/book.go
+++ b/internal/direct/load/book.go
@@ -1,11 +1,13 @@
 // Package load knows how many requests are open at each target.
 //
-// A balancer counts the requests that it sent on itself (package requests), and
-// hears the counts of other balancers, which tell each other every few tens of
-// milliseconds. Both together are the estimate that the choice of a target goes
-// by. Counts of a balancer that falls silent are forgotten quickly: without
-// word of others the estimate is what this balancer sees, and the choice falls
-// back to hashing.
+// A balancer counts the requests that it sent on itself (package requests) in its
+// Book, and hears the counts of other balancers. Both together are the estimate that
+// the choice of a target goes by. In a small system the Exchange of each balancer tells
+// all others; in a large one it tells a member of the control group, whose Collector
+// adds up and tells its balancers the sum of all. Either way reports go every few tens
+// of milliseconds while a service is half used, and hardly at all else. Counts of a node
+// that falls silent are forgotten quickly: without word of others the estimate is what
+// this balancer sees, and the choice falls back to hashing.
 package load
 
 import (
