Serve long flows after short ones in a balancer's egress, one after the other

All egress was fair by flow. The data of each of several uploads then waits longer than the 200 ms after which its sender repeats it, so that the link carries it twice.

Change: a flow that has put eight full packets into the queue moves to a lower level; the oldest of these is served until it has nothing to send.

--- a/internal/direct/egress/egress.go
+++ b/internal/direct/egress/egress.go
@@ -120,7 +120,7 @@
 		if wait := egress.pacer.wait(now); wait > 0 {
 			return wait
 		}
-		next := egress.queue.take()
+		next := egress.queue.take(now)
 		egress.observe(now.Sub(next.since))
 		egress.transmit(next, now)
 	}
--- a/internal/direct/egress/queue.go
+++ b/internal/direct/egress/queue.go
@@ -34,9 +34,23 @@
 		datagram.To == other.To
 }
 
-// quantum is the number of bytes that a flow may send before the next flow's
-// turn: one datagram of the largest usual size.
-const quantum = 1300
+const (
+	// quantum is the number of bytes that a flow may send before the next flow's
+	// turn: one datagram of the largest usual size.
+	quantum = 1300
+	// longFrom is the number of bytes from which a flow that waits counts as long:
+	// eight full datagrams. Requests without a body of their own are far below; an
+	// upload passes it within its first window.
+	longFrom = 8 * quantum
+	// longTurns is the number of long flows, the oldest first, that share what
+	// short flows leave of the link. Of two, one fills the link while the other
+	// waits for an acknowledgement; each further one would only make the data of
+	// all wait longer than senders do before they repeat it.
+	longTurns = 1
+	// longRests is how long a long flow may have nothing to send before it loses
+	// its place: senders repeat what was not acknowledged after 1.6 s at the most.
+	longRests = 2 * time.Second
+)
 
 // flowQueue is one flow's datagrams in the order of their arrival.
 type flowQueue struct {
@@ -44,25 +58,35 @@
 	datagrams []*Datagram
 	// credit is the number of bytes that the flow may still send in its turn.
 	credit int
+	// attained is the number of bytes that the flow has put into the queue.
+	attained int
+	// long tells that the flow is in the list of long ones, and emptiedAt since
+	// when it has nothing to send there.
+	long      bool
+	emptiedAt time.Time
 }
 
-// fairQueue serves flows in turn by deficit round robin, and flows that just
-// began to wait before those that have waited through a turn, so that short
-// flows do not wait for long ones. Source: RFC 8290, section 4, without its
-// dropping of packets by their time in the queue.
+// fairQueue has two levels. Short flows go first, each in its turn by deficit
+// round robin, those that just began to wait before those that have waited
+// through a turn (RFC 8290, section 4, without its dropping of packets by their
+// time in the queue). A flow that has put longFrom bytes into the queue moves to
+// the lower level: long flows share what is left, few at a time in the order of
+// their age, because the data of a flow that waits for its turn is repeated by
+// its sender, over and over.
 //
 // Invariants: a flow is in flows if and only if it is in exactly one of the
-// two lists; bytes is the sum of the contents of all datagrams.
+// three lists; bytes is the sum of the contents of all datagrams.
 type fairQueue struct {
 	limit int
 	bytes int
 	flows map[Flow]*flowQueue
 	fresh *list.List
 	old   *list.List
+	long  *list.List
 }
 
 func newFairQueue(limit int) *fairQueue {
-	return &fairQueue{limit: limit, flows: make(map[Flow]*flowQueue), fresh: list.New(), old: list.New()}
+	return &fairQueue{limit: limit, flows: make(map[Flow]*flowQueue), fresh: list.New(), old: list.New(), long: list.New()}
 }
 
 // admission is what became of a datagram that was put into the queue.
@@ -92,6 +116,7 @@
 		queue.fresh.PushBack(waiting)
 	}
 	waiting.datagrams = append(waiting.datagrams, added)
+	waiting.attained += len(added.Content)
 	queue.bytes += len(added.Content)
 	return admitted
 }
@@ -113,11 +138,19 @@
 func (queue *fairQueue) empty() bool { return queue.bytes == 0 }
 
 // take removes and returns the next datagram, or nil when nothing waits.
-func (queue *fairQueue) take() *Datagram {
-	for !queue.empty() {
-		from, element := queue.next()
+func (queue *fairQueue) take(now time.Time) *Datagram {
+	for {
+		from, element := queue.nextShort()
+		if element == nil {
+			return queue.takeLong(now)
+		}
 		waiting := element.Value.(*flowQueue)
 		switch {
+		case waiting.attained >= longFrom:
+			from.Remove(element)
+			waiting.long = true
+			waiting.emptiedAt = now
+			queue.long.PushBack(waiting)
 		case waiting.credit <= 0:
 			waiting.credit += quantum
 			from.Remove(element)
@@ -128,18 +161,60 @@
 			return queue.pop(waiting)
 		}
 	}
-	return nil
 }
 
-func (queue *fairQueue) next() (*list.List, *list.Element) {
+// nextShort returns the list and the place of the short flow whose turn it is;
+// the place is nil without one.
+func (queue *fairQueue) nextShort() (*list.List, *list.Element) {
 	if front := queue.fresh.Front(); front != nil {
 		return queue.fresh, front
 	}
 	return queue.old, queue.old.Front()
 }
 
-// retire takes a flow without datagrams out of its list. A fresh flow passes
-// through the old ones first, so that it cannot stay ahead by sending one
+// takeLong removes and returns the next datagram of the oldest long flows. It
+// forgets long flows that have rested.
+func (queue *fairQueue) takeLong(now time.Time) *Datagram {
+	var turns [longTurns]*flowQueue
+	count := 0
+	for element := queue.long.Front(); element != nil && count < longTurns; {
+		waiting := element.Value.(*flowQueue)
+		following := element.Next()
+		switch {
+		case len(waiting.datagrams) > 0:
+			turns[count] = waiting
+			count++
+		case now.Sub(waiting.emptiedAt) >= longRests:
+			queue.long.Remove(element)
+			delete(queue.flows, waiting.flow)
+		}
+		element = following
+	}
+	if count == 0 {
+		return nil
+	}
+	for {
+		for _, waiting := range turns[:count] {
+			if waiting.credit > 0 {
+				return queue.popLong(waiting, now)
+			}
+		}
+		for _, waiting := range turns[:count] {
+			waiting.credit += quantum
+		}
+	}
+}
+
+func (queue *fairQueue) popLong(waiting *flowQueue, now time.Time) *Datagram {
+	taken := queue.pop(waiting)
+	if len(waiting.datagrams) == 0 {
+		waiting.emptiedAt = now
+	}
+	return taken
+}
+
+// retire takes a short flow without datagrams out of its list. A fresh flow
+// passes through the old ones first, so that it cannot stay ahead by sending one
 // datagram at a time.
 func (queue *fairQueue) retire(from *list.List, element *list.Element) {
 	waiting := element.Value.(*flowQueue)
@@ -158,14 +233,18 @@
 	waiting.credit -= len(taken.Content)
 	queue.bytes -= len(taken.Content)
 	if queue.empty() {
-		queue.clear()
+		queue.forgetShort()
 	}
 	return taken
 }
 
-// clear forgets flows that wait for nothing.
-func (queue *fairQueue) clear() {
-	clear(queue.flows)
-	queue.fresh.Init()
-	queue.old.Init()
+// forgetShort forgets short flows when nothing waits, so that what a flow sends
+// now and then does not add up to a long one.
+func (queue *fairQueue) forgetShort() {
+	for _, short := range []*list.List{queue.fresh, queue.old} {
+		for element := short.Front(); element != nil; element = element.Next() {
+			delete(queue.flows, element.Value.(*flowQueue).flow)
+		}
+		short.Init()
+	}
 }
