Admit long requests by what a balancer's own link can carry

A balancer took every upload, while others of its zone had none.

Change: balancers send at direct.link_share of their link. A request is long from eight packets on; while its data comes it takes no place at its target, and serving times count from its last data. Package transfer learns by route what requests bring and refuses a new flow (link_full) whose request would be carried later than direct.link_admission of its objective; while half of them are refused, so that links are full everywhere, also when the windows under way exceed the 200 ms after which senders repeat. Short requests are never refused.

Found by the new scenario: a copy of an opening packet that had been sent on was refused as overloaded, which resets the flow when the answer to the first copy was under way. Copies that this balancer sent on before are not refused any more.

--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -24,6 +24,7 @@
 	"merlinpaddle/internal/direct/renewal"
 	"merlinpaddle/internal/direct/requests"
 	"merlinpaddle/internal/direct/steer"
+	"merlinpaddle/internal/direct/transfer"
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/process"
 	"merlinpaddle/internal/protocol"
@@ -58,7 +59,7 @@
 		fx.Supply(model.RoleBalancer),
 		transport.ModuleWith(transport.QuickTiming()),
 		fx.Provide(newTable, provideSubscriber, provideReplica, providePublisher, provideReports, provideRelay, provideTracker,
-			load.NewBook, provideWatcher, provideSharing, newConnections, provideSuspects, provideForwarder, newMetrics, newObserver),
+			load.NewBook, provideWatcher, provideAdmission, provideSharing, newConnections, provideSuspects, provideForwarder, newMetrics, newObserver),
 		fx.Provide(newChangeListeners),
 		fx.Invoke(reportChanges, run),
 	)
@@ -149,16 +150,31 @@
 	return requests.NewWatcher(tracker, book)
 }
 
+// provideAdmission makes the admission learn from the requests that the watcher
+// sees.
+func provideAdmission(chosen settings.Settings, watcher *requests.Watcher) *transfer.Admission {
+	sizes := transfer.NewSizes()
+	watcher.ObserveSizes(sizes)
+	options := transfer.Options{BytesPerSecond: linkRate(chosen), Share: chosen.Direct.LinkAdmission}
+	return transfer.New(options, sizes, watcher.EachOpen)
+}
+
+// linkRate returns the rate that the balancer sends at, in bytes a second; zero
+// means that it has no bound.
+func linkRate(chosen settings.Settings) float64 {
+	return chosen.Direct.LinkMegabits * bytesPerMegabit * chosen.Direct.LinkShare
+}
+
 func provideSuspects(table *steer.Table, mailbox *protocol.Mailbox, subscriber *feed.Subscriber, logger *zap.Logger) *forwarder.Suspects {
 	return forwarder.NewSuspects(table, probe.New(probe.DialTCP), mailbox, subscriber.Following, logger.Named("targets"))
 }
 
-func provideForwarder(chosen settings.Settings, codec forwarder.Codec, table *steer.Table, suspects *forwarder.Suspects, watcher *requests.Watcher, observer *observer) (*forwarder.Forwarder, error) {
+func provideForwarder(chosen settings.Settings, codec forwarder.Codec, table *steer.Table, suspects *forwarder.Suspects, watcher *requests.Watcher, admission *transfer.Admission, observer *observer) (*forwarder.Forwarder, error) {
 	options := forwarder.Options{
 		Address:  chosen.Direct.Packets,
-		LinkRate: chosen.Direct.LinkMegabits * bytesPerMegabit,
+		LinkRate: linkRate(chosen),
 	}
-	return forwarder.New(options, codec, table, suspects, watcher, observer)
+	return forwarder.New(options, codec, table, suspects, watcher, admission, observer)
 }
 
 // parts are what run needs; fx fills it.
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -54,35 +54,44 @@
 	// Placed takes in that an opening packet was sent on to target.
 	Placed(segment steer.Segment, target requests.Target, now time.Time)
 	// Tried returns the targets that the last opening packets of the segment's
-	// flow were sent on to, the latest first, as far as that is known.
-	Tried(segment steer.Segment) [steer.TriesKnown]directory.Token
+	// flow were sent on to, the latest first, as far as that is known, and whether
+	// any packet of the flow was sent on.
+	Tried(segment steer.Segment) (tried [steer.TriesKnown]directory.Token, seen bool)
 	// Note takes in a packet that was sent on to the target of its flow.
 	Note(segment steer.Segment, target requests.Target, now time.Time)
 }
 
+// Admission decides whether the balancer's link has room for a new flow; it must
+// return at once.
+type Admission interface {
+	// Review returns the decision about a packet, or in place of it a refusal.
+	Review(segment steer.Segment, decision steer.Decision) steer.Decision
+}
+
 // Forwarder is the packet path of one balancer.
 type Forwarder struct {
-	socket   *net.UDPConn
-	codec    Codec
-	table    *steer.Table
-	suspects *Suspects
-	observer Observer
-	requests Requests
-	parking  *parking
-	egress   *egress.Egress
+	socket    *net.UDPConn
+	codec     Codec
+	table     *steer.Table
+	suspects  *Suspects
+	observer  Observer
+	requests  Requests
+	admission Admission
+	parking   *parking
+	egress    *egress.Egress
 }
 
 // Options are what a forwarder works with.
 type Options struct {
 	// Address is where the socket is opened.
 	Address string
-	// LinkRate is what the machine's link carries, in bytes a second; zero
-	// means that it has no bound.
+	// LinkRate is the rate to send at, in bytes a second; zero means that it has
+	// no bound.
 	LinkRate float64
 }
 
 // New opens the socket.
-func New(options Options, codec Codec, table *steer.Table, suspects *Suspects, requests Requests, observer Observer) (*Forwarder, error) {
+func New(options Options, codec Codec, table *steer.Table, suspects *Suspects, requests Requests, admission Admission, observer Observer) (*Forwarder, error) {
 	parsed, err := netip.ParseAddrPort(options.Address)
 	if err != nil {
 		return nil, faults.New(faults.PacketSocket, "direct.packets: %v", err)
@@ -94,7 +103,7 @@
 	// A smaller buffer than asked for loses packets earlier; nothing else.
 	_ = socket.SetReadBuffer(socketBufferBytes)
 	_ = socket.SetWriteBuffer(socketBufferBytes)
-	forwarder := &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, requests: requests, observer: observer, parking: newParking()}
+	forwarder := &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, requests: requests, admission: admission, observer: observer, parking: newParking()}
 	forwarder.egress = egress.New(options.LinkRate, forwarder.write)
 	return forwarder, nil
 }
@@ -150,9 +159,9 @@
 func (forwarder *Forwarder) decide(buffer []byte, headroom int, segment steer.Segment, now time.Time) {
 	packet := buffer[headroom:]
 	if segment.Opening && segment.Attempt > 0 {
-		segment.Tried = forwarder.requests.Tried(segment)
+		segment.Tried, segment.Seen = forwarder.requests.Tried(segment)
 	}
-	decision := forwarder.table.Decide(segment, now)
+	decision := forwarder.admission.Review(segment, forwarder.table.Decide(segment, now))
 	if worthParking(decision.Reason) {
 		forwarder.parking.put(packet, segment, now)
 	}
--- a/internal/direct/forwarder/forwarder_test.go
+++ b/internal/direct/forwarder/forwarder_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,6 +38,7 @@
 	kindOpen  = 1
 	kindData  = 2
 	kindReset = 3
+	kindCopy  = 4
 	headroom  = 4
 )
 
@@ -59,11 +61,16 @@
 	if len(packet) != 9 {
 		return steer.Segment{}, faults.New(faults.SegmentMalformed, "%d bytes", len(packet))
 	}
+	copies := 0
+	if packet[0] == kindCopy {
+		copies = 1
+	}
 	return steer.Segment{
+		Attempt: copies,
 		Caller:  loopback(binary.BigEndian.Uint16(packet[1:])),
 		Service: loopback(binary.BigEndian.Uint16(packet[3:])),
 		Token:   directory.Token(binary.BigEndian.Uint32(packet[5:])),
-		Opening: packet[0] == kindOpen,
+		Opening: packet[0] == kindOpen || packet[0] == kindCopy,
 	}, nil
 }
 
@@ -84,6 +91,7 @@
 	reasons   map[steer.Reason]int
 	malformed int
 	noted     int
+	placed    int
 }
 
 // Decided implements Observer.
@@ -94,11 +102,17 @@
 }
 
 // Placed implements Requests.
-func (counter *counter) Placed(steer.Segment, requests.Target, time.Time) {}
+func (counter *counter) Placed(steer.Segment, requests.Target, time.Time) {
+	counter.lock.Lock()
+	defer counter.lock.Unlock()
+	counter.placed++
+}
 
 // Tried implements Requests.
-func (counter *counter) Tried(steer.Segment) [steer.TriesKnown]directory.Token {
-	return [steer.TriesKnown]directory.Token{}
+func (counter *counter) Tried(steer.Segment) (tried [steer.TriesKnown]directory.Token, seen bool) {
+	counter.lock.Lock()
+	defer counter.lock.Unlock()
+	return tried, counter.placed > 0
 }
 
 // Note implements Requests.
@@ -121,12 +135,24 @@
 	return counter.reasons[reason]
 }
 
+// link is an admission that refuses flows of a route while it is full.
+type link struct{ full atomic.Bool }
+
+// Review implements Admission.
+func (link *link) Review(segment steer.Segment, decision steer.Decision) steer.Decision {
+	if link.full.Load() && segment.Opening && !segment.Seen {
+		return decision.RefuseForLink(time.Second)
+	}
+	return decision
+}
+
 // rig is a running forwarder with sockets of one caller and one target.
 type rig struct {
 	t         *testing.T
 	forwarder *Forwarder
 	table     *steer.Table
 	counter   *counter
+	link      *link
 	caller    *net.UDPConn
 	target    *net.UDPConn
 }
@@ -146,12 +172,12 @@
 	t.Helper()
 	made := &rig{
 		t: t, table: steer.NewTable(steer.DefaultOptions()), counter: &counter{reasons: make(map[steer.Reason]int)},
-		caller: socket(t), target: socket(t),
+		link: &link{}, caller: socket(t), target: socket(t),
 	}
 	mailbox := protocol.NewMailbox("balancer")
 	suspects := NewSuspects(made.table, probe.New(probe.DialTCP), mailbox, func() model.NodeName { return "" }, zap.NewNop())
 	var err error
-	made.forwarder, err = New(Options{Address: "127.0.0.1:0"}, codec{}, made.table, suspects, made.counter, made.counter)
+	made.forwarder, err = New(Options{Address: "127.0.0.1:0"}, codec{}, made.table, suspects, made.counter, made.link, made.counter)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -216,6 +242,32 @@
 	require.Equal(t, packetOf(kindReset, caller, 99, 0), rig.receive(rig.caller))
 }
 
+// TestFlowsAreRefusedWhileTheLinkIsFull: a new flow is reset at once and goes to no
+// target; a copy of an opening packet that was sent on, whose flow may have opened,
+// and packets of open flows go on.
+func TestFlowsAreRefusedWhileTheLinkIsFull(t *testing.T) {
+	rig := newRig(t)
+	rig.learn(1, directory.TargetReady)
+	rig.link.full.Store(true)
+	caller := portOf(rig.caller)
+	rig.send(packetOf(kindOpen, caller, servicePort, 0))
+	require.Equal(t, packetOf(kindReset, caller, servicePort, 0), rig.receive(rig.caller))
+	rig.send(packetOf(kindCopy, caller, servicePort, 0))
+	require.Equal(t, packetOf(kindReset, caller, servicePort, 0), rig.receive(rig.caller))
+	require.Equal(t, 2, rig.counter.count(steer.ReasonLinkFull))
+	rig.send(packetOf(kindData, caller, servicePort, 7))
+	require.Equal(t, byte(kindData), rig.receive(rig.target)[headroom])
+	rig.link.full.Store(false)
+	rig.send(packetOf(kindOpen, caller, servicePort, 0))
+	require.Equal(t, byte(kindOpen), rig.receive(rig.target)[headroom])
+	rig.link.full.Store(true)
+	rig.send(packetOf(kindCopy, caller, servicePort, 0))
+	require.Equal(t, byte(kindCopy), rig.receive(rig.target)[headroom])
+	rig.counter.lock.Lock()
+	defer rig.counter.lock.Unlock()
+	require.Equal(t, 2, rig.counter.placed, "a refused flow is at no target")
+}
+
 func TestMalformedPacketsAreCounted(t *testing.T) {
 	rig := newRig(t)
 	rig.learn(1, directory.TargetReady)
@@ -313,7 +365,7 @@
 
 func TestAddressInUseIsToldByField(t *testing.T) {
 	taken := socket(t)
-	_, err := New(Options{Address: taken.LocalAddr().String()}, codec{}, steer.NewTable(steer.DefaultOptions()), nil, nil, nil)
+	_, err := New(Options{Address: taken.LocalAddr().String()}, codec{}, steer.NewTable(steer.DefaultOptions()), nil, nil, nil, nil)
 	require.Equal(t, faults.PacketSocket, faults.CodeOf(err))
 	require.ErrorContains(t, err, "direct.packets")
 }
--- a/internal/direct/load/book.go
+++ b/internal/direct/load/book.go
@@ -98,6 +98,16 @@
 	known.own--
 }
 
+// Receiving implements requests.Listener. A request whose data still comes takes
+// no place at its target.
+func (book *Book) Receiving(target requests.Target, receiving bool) {
+	if receiving {
+		book.add(target.Token, -1, 0)
+	} else {
+		book.add(target.Token, 1, 0)
+	}
+}
+
 // Continued implements requests.Listener.
 func (book *Book) Continued(whole bool) { book.trust.flows.Note(whole) }
 
--- a/internal/direct/outcome/tracker.go
+++ b/internal/direct/outcome/tracker.go
@@ -68,6 +68,9 @@
 	tracker.counts[target.ID] = counted
 }
 
+// Receiving implements requests.Listener.
+func (tracker *Tracker) Receiving(requests.Target, bool) {}
+
 // Continued implements requests.Listener.
 func (tracker *Tracker) Continued(whole bool) { tracker.flows.Note(whole) }
 
--- a/internal/direct/requests/watcher.go
+++ b/internal/direct/requests/watcher.go
@@ -28,6 +28,12 @@
 	// HangAfter is how long a request may go unanswered before it counts so. It
 	// is far above the time of a request on a busy target.
 	HangAfter = time.Second
+	// receivingRests is how long a long request may bring nothing while its data
+	// still comes: senders repeat what was not acknowledged after 1.6 s at the most.
+	receivingRests = 2 * time.Second
+	// receivingHangs is how long it may bring nothing new. Long requests wait for
+	// each other on a narrow link, so that this is longer than for others.
+	receivingHangs = 5 * time.Second
 	// placedFor is how long after its opening packet a flow may bring no data
 	// before its request counts as withdrawn: the last copy of the opening packet
 	// was sent by then.
@@ -63,8 +69,12 @@
 	// Began is told that a request is at the target, or comes soon.
 	Began(target Target)
 	// Ended is told how a request ended, once for each that began. took is the
-	// time since its first data, or since its opening packet when none came.
+	// time since its latest new data, or since its opening packet when none came:
+	// while data still comes, it is the link that takes time and not the target.
 	Ended(target Target, ending Ending, took time.Duration)
+	// Receiving is told that the data of a request which began still comes, so
+	// that the target does not work on it yet, or that all of it came.
+	Receiving(target Target, receiving bool)
 	// Continued is told of data of a flow that this balancer knew before: whole
 	// tells that no data between went another way.
 	Continued(whole bool)
@@ -90,19 +100,21 @@
 	asked bool
 	// acknowledged is the caller's acknowledgement when it asked.
 	acknowledged uint32
-	// sequence is the highest number of data that was sent. Data that is sent
-	// again does not move since: it was not taken.
-	sequence uint32
-	// begunAt is when the opening packet, or the first data, was sent on, and
-	// since when the latest new data was.
-	begunAt time.Time
-	since   time.Time
+	// content is what was sent so far.
+	content content
+	// since is when the opening packet, or the latest new data, was sent on, and
+	// seenAt when the latest data was, new or not.
+	since  time.Time
+	seenAt time.Time
 }
 
 // overdue tells whether the request has been open for too long, and how it ends
 // then.
 func (open *request) overdue(now time.Time) (Ending, bool) {
-	if open.asked {
+	switch {
+	case open.content.receiving():
+		return Unanswered, now.Sub(open.seenAt) >= receivingRests || now.Sub(open.since) >= receivingHangs
+	case open.asked:
 		return Unanswered, now.Sub(open.since) >= HangAfter
 	}
 	return Withdrawn, now.Sub(open.since) >= placedFor
@@ -119,11 +131,12 @@
 type Watcher struct {
 	listeners []Listener
 	shards    [shardCount]shard
+	sizes     SizeObserver
 }
 
 // NewWatcher returns a watcher that tells the listeners.
 func NewWatcher(listeners ...Listener) *Watcher {
-	watcher := &Watcher{listeners: listeners}
+	watcher := &Watcher{listeners: listeners, sizes: noSizes{}}
 	for index := range watcher.shards {
 		watcher.shards[index].requests = make(map[flowKey]request)
 		watcher.shards[index].samples = make(map[flowKey]sample)
@@ -153,21 +166,23 @@
 	case len(shard.requests) >= flowsKept/shardCount:
 		return
 	}
-	watcher.begin(shard, key, request{target: target, before: open.target.Token, begunAt: now, since: now})
+	watcher.begin(shard, key, request{target: target, before: open.target.Token, since: now})
 }
 
 // Tried returns the targets that the last opening packets of the segment's flow
-// were sent on to, the latest first, as far as that is known.
-func (watcher *Watcher) Tried(segment steer.Segment) [steer.TriesKnown]directory.Token {
+// were sent on to, the latest first, as far as that is known. seen tells that a
+// request of the flow is open here: a former copy was sent on, and the flow may have
+// opened.
+func (watcher *Watcher) Tried(segment steer.Segment) (tried [steer.TriesKnown]directory.Token, seen bool) {
 	key := keyOf(segment)
 	shard := watcher.shard(key)
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
 	open, known := shard.requests[key]
 	if !known || open.asked {
-		return [steer.TriesKnown]directory.Token{}
+		return tried, known
 	}
-	return [steer.TriesKnown]directory.Token{open.target.Token, open.before}
+	return [steer.TriesKnown]directory.Token{open.target.Token, open.before}, true
 }
 
 // Note takes in a packet that was sent on to the target of an open flow.
@@ -208,19 +223,15 @@
 // ask notes data of a request. Data that is sent again changes nothing.
 func (watcher *Watcher) ask(shard *shard, key flowKey, open request, known bool, target Target, segment steer.Segment, now time.Time) {
 	if known && open.asked {
-		if int32(segment.Sequence-open.sequence) > 0 {
-			open.sequence = segment.Sequence
-			open.since = now
-			shard.requests[key] = open
-		}
+		watcher.askMore(shard, key, open, segment, now)
 		return
 	}
 	if !known && len(shard.requests) >= flowsKept/shardCount {
 		return
 	}
 	asked := request{
-		target: target, asked: true, acknowledged: segment.Acknowledgement, sequence: segment.Sequence,
-		begunAt: now, since: now,
+		target: target, asked: true, acknowledged: segment.Acknowledgement, content: newContent(segment),
+		since: now, seenAt: now,
 	}
 	if known {
 		shard.requests[key] = asked
@@ -229,6 +240,30 @@
 	watcher.begin(shard, key, asked)
 }
 
+// askMore notes further data of a request. Data that is sent again was not taken
+// and changes nothing.
+func (watcher *Watcher) askMore(shard *shard, key flowKey, open request, segment steer.Segment, now time.Time) {
+	before := open.content.receiving()
+	open.seenAt = now
+	if open.content.add(segment) {
+		open.since = now
+	}
+	shard.requests[key] = open
+	receiving := open.content.receiving()
+	if receiving {
+		watcher.sizes.Growing(key.service, int(open.content.brought()))
+	}
+	if receiving != before {
+		watcher.receiving(open.target, receiving)
+	}
+}
+
+func (watcher *Watcher) receiving(target Target, receiving bool) {
+	for _, listener := range watcher.listeners {
+		listener.Receiving(target, receiving)
+	}
+}
+
 func (watcher *Watcher) begin(shard *shard, key flowKey, open request) {
 	shard.requests[key] = open
 	for _, listener := range watcher.listeners {
@@ -238,8 +273,14 @@
 
 func (watcher *Watcher) end(shard *shard, key flowKey, open request, ending Ending, now time.Time) {
 	delete(shard.requests, key)
+	if open.content.receiving() {
+		watcher.receiving(open.target, false)
+	}
+	if ending == Answered {
+		watcher.sizes.Whole(key.service, int(open.content.brought()))
+	}
 	for _, listener := range watcher.listeners {
-		listener.Ended(open.target, ending, now.Sub(open.begunAt))
+		listener.Ended(open.target, ending, now.Sub(open.since))
 	}
 }
 
--- a/internal/direct/requests/watcher_test.go
+++ b/internal/direct/requests/watcher_test.go
@@ -39,6 +39,8 @@
 // book counts what a listener is told.
 type book struct {
 	open, answered, unanswered, withdrawn map[directory.Token]int
+	// took is the time of the request that ended last.
+	took time.Duration
 	// whole and gaps count data that followed what was seen before, or did not.
 	whole, gaps int
 }
@@ -52,7 +54,8 @@
 
 func (book *book) Began(target Target) { book.open[target.Token]++ }
 
-func (book *book) Ended(target Target, ending Ending, _ time.Duration) {
+func (book *book) Ended(target Target, ending Ending, took time.Duration) {
+	book.took = took
 	book.open[target.Token]--
 	switch ending {
 	case Answered:
@@ -64,6 +67,14 @@
 	}
 }
 
+func (book *book) Receiving(target Target, receiving bool) {
+	if receiving {
+		book.open[target.Token]--
+	} else {
+		book.open[target.Token]++
+	}
+}
+
 func (book *book) Continued(whole bool) {
 	if whole {
 		book.whole++
@@ -140,21 +151,44 @@
 	watcher.Placed(opens(1), targetOf(7), start)
 	watcher.Placed(opens(1), targetOf(7), start)
 	require.Equal(t, 1, book.open[7], "a copy at the same target is one request")
-	require.Equal(t, [steer.TriesKnown]directory.Token{7}, watcher.Tried(opens(1)))
+	require.Equal(t, [steer.TriesKnown]directory.Token{7}, tried(watcher))
 	watcher.Placed(opens(1), targetOf(8), start.Add(200*time.Millisecond))
 	require.Equal(t, 0, book.open[7])
 	require.Equal(t, 1, book.open[8])
-	require.Equal(t, [steer.TriesKnown]directory.Token{8, 7}, watcher.Tried(opens(1)))
+	require.Equal(t, [steer.TriesKnown]directory.Token{8, 7}, tried(watcher))
 	watcher.Note(asks(1, 1, 1).segment, targetOf(7), start.Add(210*time.Millisecond))
 	require.Equal(t, 1, book.open[7], "the flow opened at the first target after all")
 	require.Equal(t, 0, book.open[8])
-	require.Zero(t, watcher.Tried(opens(1)), "an open flow has no former choice")
+	require.Zero(t, tried(watcher), "an open flow has no former choice")
 	watcher.Note(acknowledges(1, 100, 50).segment, targetOf(7), start.Add(250*time.Millisecond))
 	require.Equal(t, 0, book.open[7])
 	require.Equal(t, 1, book.answered[7])
 	require.Equal(t, 1, book.withdrawn[8])
 }
 
+// tried returns the former targets of the first flow.
+func tried(watcher *Watcher) [steer.TriesKnown]directory.Token {
+	targets, _ := watcher.Tried(opens(1))
+	return targets
+}
+
+// TestFlowsAreSeenWhileTheirRequestIsOpen: an opening packet that comes late must not
+// be refused once its flow may be open.
+func TestFlowsAreSeenWhileTheirRequestIsOpen(t *testing.T) {
+	watcher := NewWatcher(newBook())
+	seen := func() bool {
+		_, seen := watcher.Tried(opens(1))
+		return seen
+	}
+	require.False(t, seen())
+	watcher.Placed(opens(1), targetOf(7), start)
+	require.True(t, seen())
+	watcher.Note(asks(1, 1, 1).segment, targetOf(7), start)
+	require.True(t, seen())
+	watcher.Note(closes(1, 100, 1).segment, targetOf(7), start)
+	require.False(t, seen())
+}
+
 func TestFlowThatBringsNoRequestIsWithdrawn(t *testing.T) {
 	book := newBook()
 	watcher := NewWatcher(book)
@@ -209,6 +243,109 @@
 	}
 }
 
+// sizeBook has the sizes that an observer was told last.
+type sizeBook struct{ growing, whole map[netip.AddrPort]int }
+
+func (book *sizeBook) Growing(route netip.AddrPort, bytes int) { book.growing[route] = bytes }
+
+func (book *sizeBook) Whole(route netip.AddrPort, bytes int) { book.whole[route] = bytes }
+
+// full is the size of a full packet's data.
+const full = 1200
+
+// TestLongRequestsTakeNoPlaceWhileTheirDataComes: the target begins to work once all
+// data came, and the link takes the time until then.
+func TestLongRequestsTakeNoPlaceWhileTheirDataComes(t *testing.T) {
+	listener := newBook()
+	watcher := NewWatcher(listener)
+	sizes := &sizeBook{growing: make(map[netip.AddrPort]int), whole: make(map[netip.AddrPort]int)}
+	watcher.ObserveSizes(sizes)
+	watcher.Placed(opens(1), targetOf(7), start)
+	now := start
+	send := func(sequence, length uint32) {
+		now = now.Add(100 * time.Millisecond)
+		step := data(1, sequence, length)
+		watcher.Note(step.segment, step.target, now)
+	}
+	for number := range uint32(LongFrom / full) {
+		send(1+number*full, full)
+		require.Equal(t, 1, listener.open[7], "a request counts until it is long")
+	}
+	send(1+LongFrom, full)
+	require.Zero(t, listener.open[7])
+	progress := func() Progress {
+		var found []Progress
+		watcher.EachOpen(func(progress Progress) { found = append(found, progress) })
+		require.Len(t, found, 1)
+		return found[0]
+	}
+	route := opens(1).Service
+	require.Equal(t, Progress{Route: route, Brought: LongFrom + full}, progress())
+	send(1+LongFrom, full)
+	require.Equal(t, Progress{Route: route, Brought: LongFrom + full}, progress(), "data that is sent again is no further data")
+	send(1+LongFrom+full, 70)
+	require.Equal(t, 1, listener.open[7], "the last packet is not full")
+	require.Equal(t, Progress{Route: route, Brought: LongFrom + full + 70, Complete: true}, progress())
+	now = now.Add(20 * time.Millisecond)
+	watcher.Note(acknowledges(1, LongFrom+full+71, 50).segment, targetOf(7), now)
+	require.Zero(t, listener.open[7])
+	require.Equal(t, 20*time.Millisecond, listener.took, "the time of the target, without that of the link")
+	require.Equal(t, map[netip.AddrPort]int{route: LongFrom + full}, sizes.growing)
+	require.Equal(t, map[netip.AddrPort]int{route: LongFrom + full + 70}, sizes.whole)
+}
+
+// TestLongRequestsThatEndEarlyLeaveNothing: each ending finds the request counted
+// once.
+func TestLongRequestsThatEndEarlyLeaveNothing(t *testing.T) {
+	endings := []struct {
+		name string
+		end  func(watcher *Watcher)
+	}{
+		{"closed", func(watcher *Watcher) { watcher.Note(closes(1, 99_999, 1).segment, targetOf(7), start) }},
+		{"no more data", func(watcher *Watcher) { watcher.Reconcile(start.Add(receivingRests)) }},
+		{"at another target", func(watcher *Watcher) { watcher.Note(closes(1, 99_999, 1).segment, targetOf(8), start) }},
+	}
+	for _, test := range endings {
+		t.Run(test.name, func(t *testing.T) {
+			listener := newBook()
+			watcher := NewWatcher(listener)
+			for number := range uint32(12) {
+				step := data(1, 1+number*full, full)
+				watcher.Note(step.segment, step.target, start)
+			}
+			require.Zero(t, listener.open[7])
+			test.end(watcher)
+			require.Zero(t, listener.open[7])
+			require.Zero(t, listener.open[8])
+			require.Equal(t, 1, listener.unanswered[7]+listener.withdrawn[7])
+		})
+	}
+}
+
+// TestLongRequestsMayWaitForTheLink: data that is sent again shows that a long request
+// goes on, for a while.
+func TestLongRequestsMayWaitForTheLink(t *testing.T) {
+	listener := newBook()
+	watcher := NewWatcher(listener)
+	for number := range uint32(12) {
+		step := data(1, 1+number*full, full)
+		watcher.Note(step.segment, step.target, start)
+	}
+	open := func() (count int) {
+		watcher.EachOpen(func(Progress) { count++ })
+		return count
+	}
+	repeated := data(1, 1+11*full, full)
+	for after := time.Second; after < receivingHangs; after += time.Second {
+		watcher.Reconcile(start.Add(after))
+		require.Equal(t, 1, open(), "after %s", after)
+		watcher.Note(repeated.segment, repeated.target, start.Add(after))
+	}
+	watcher.Reconcile(start.Add(receivingHangs))
+	require.Zero(t, open())
+	require.Equal(t, 1, listener.unanswered[7])
+}
+
 func TestWatchedFlowsAreBounded(t *testing.T) {
 	book := newBook()
 	watcher := NewWatcher(book)
--- a/internal/direct/steer/admission_test.go
+++ b/internal/direct/steer/admission_test.go
@@ -114,6 +114,20 @@
 	require.Equal(t, ReasonChosen, table.Decide(opening(9), later.Add(congestionSpan+time.Millisecond)).Reason)
 }
 
+// TestCopiesOfWhatWasSentOnAreNeverRefused: the answer to the former copy may be under
+// way, and a refusal would break a flow that opens. A copy whose former one never came
+// here is refused like any other.
+func TestCopiesOfWhatWasSentOnAreNeverRefused(t *testing.T) {
+	table := admissionTable(t, &busy{open: 50, serving: time.Second}, nil)
+	end := start.Add(3 * congestionSpan)
+	press(table, start, 3*congestionSpan, opening(9))
+	repeated := opening(9)
+	repeated.Attempt = 1
+	require.Equal(t, ReasonOverloaded, table.Decide(repeated, end).Reason)
+	repeated.Seen = true
+	require.Equal(t, Forward, table.Decide(repeated, end).Action)
+}
+
 // TestOpenFlowsAreNeverRefused: only new flows are.
 func TestOpenFlowsAreNeverRefused(t *testing.T) {
 	table := admissionTable(t, &busy{open: 50, serving: time.Second}, nil)
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -81,7 +81,8 @@
 }
 
 // open chooses a target for an opening packet. Copies go to another choice: the
-// former one did not answer in time.
+// former one did not answer in time. A copy of a packet that was sent on is not
+// refused, because the answer to that one may be under way.
 func (table *Table) open(segment Segment, route route, now time.Time) Decision {
 	hash := flowHash(segment)
 	name, found := route.choose(hash)
@@ -99,12 +100,14 @@
 	open, serving := table.loadOf(chosen)
 	expected := chosen.expected(open, serving, route.objective)
 	late := open >= chosen.slots() && table.exceeds(expected, route)
-	if service.congestion.observe(late, now) && late {
+	congested := service.congestion.observe(late, now)
+	if congested && late && !segment.Seen {
 		return Decision{Action: Reset, Reason: ReasonOverloaded, ID: chosen.ID, Open: open, Expected: expected}
 	}
 	decision := forwardTo(chosen, ReasonChosen)
 	decision.Open = open
 	decision.Expected = expected
+	decision.Objective = route.objective
 	if former != 0 && former != chosen.Token && now.Sub(table.servingSince) > copiesSpan {
 		decision.Suspect = former
 	}
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -31,6 +31,9 @@
 	// packet were sent on to, the latest first, as far as this balancer knows;
 	// else zero.
 	Tried [TriesKnown]directory.Token
+	// Seen tells that this balancer sent a former copy of an opening packet on, so
+	// that the flow may have opened meanwhile.
+	Seen bool
 	// Abort tells that the packet itself ends its flow at once; it is never
 	// answered.
 	Abort bool
@@ -90,12 +93,15 @@
 	// ReasonOverloaded: the targets have more to do than the route's objective
 	// allows.
 	ReasonOverloaded
+	// ReasonLinkFull: the balancer's own link would carry the flow's request later
+	// than the route's objective allows.
+	ReasonLinkFull
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"chosen", "owner", "no_table", "no_route", "no_route_stale", "no_target",
-	"unknown_token", "target_failed", "missing_token", "overloaded",
+	"unknown_token", "target_failed", "missing_token", "overloaded", "link_full",
 }
 
 // String returns the reason's stable name.
@@ -135,6 +141,9 @@
 	// with ReasonChosen and ReasonOverloaded. ID is set with both.
 	Open     int
 	Expected time.Duration
+	// Objective is the objective of the flow's route, zero for none; set with
+	// ReasonChosen.
+	Objective time.Duration
 	// Revision, Version and ConfirmedAgo tell the table that decided: its
 	// revision, its declared version, and how long ago a member confirmed it.
 	// They are not set for packets that reach their owner.
@@ -143,5 +152,15 @@
 	ConfirmedAgo time.Duration
 }
 
+// RefuseForLink returns the decision with which a flow that was given a target is
+// refused because the balancer's link has no room for it. expected is how long its
+// request would take to be carried.
+func (decision Decision) RefuseForLink(expected time.Duration) Decision {
+	return Decision{
+		Action: Reset, Reason: ReasonLinkFull, Expected: expected,
+		Revision: decision.Revision, Version: decision.Version, ConfirmedAgo: decision.ConfirmedAgo,
+	}
+}
+
 // NeverConfirmed is the age of a table that no quorum confirmed yet.
 const NeverConfirmed time.Duration = -1
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -14,6 +14,9 @@
 	case last.Message == messageReset && last.Reason == "overloaded":
 		return fmt.Sprintf("The flow was refused before it opened: half of the new flows of its service were expected to miss their objective, and the least busy one, "+
 			"target %x, had %d open requests, so an answer was expected after %s only.", last.Target, last.Open, last.Expected)
+	case last.Message == messageReset && last.Reason == "link_full":
+		return fmt.Sprintf("The flow was refused before it opened: long requests filled the balancer's own link, which would have carried its request after %s only. "+
+			"The caller's next try goes to another balancer.", last.Expected)
 	case last.Message == messageReset:
 		return fmt.Sprintf("The flow was reset: no route has the address %s in version %d.", last.Route, last.Version)
 	case last.Message == messageDropped:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -51,6 +51,9 @@
 		{"overloaded", []string{
 			line("01", "b1", "flow reset", `,"caller":"`+flow+`","route":"198.18.0.1:1","reason":"overloaded","opening":true,"target":70,"open":9,"expected":"150ms"`),
 		}, "target 46, had 9 open requests, so an answer was expected after 150ms only", 1},
+		{"link full", []string{
+			line("01", "b1", "flow reset", `,"caller":"`+flow+`","route":"198.18.0.1:1","reason":"link_full","opening":true,"expected":"1.5s"`),
+		}, "long requests filled the balancer's own link, which would have carried its request after 1.5s only", 1},
 		{"second choice", []string{
 			line("01", "b1", "flow opened", opened),
 			line("02", "b1", "flow opened", strings.Replace(strings.Replace(opened, `"attempt":0`, `"attempt":1`, 1), `"token":7,"target":70`, `"token":8,"target":80,"suspect":7`, 1)),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,9 +51,18 @@
 	Admin string `koanf:"admin" validate:"omitempty,hostport"`
 	// Packets is the UDP address on which a balancer gets callers' packets.
 	Packets string `koanf:"packets" validate:"omitempty,hostport"`
-	// LinkMegabits is the rate of a balancer's link in Mbit/s. A balancer sends
-	// no faster; zero means that the link has no bound.
+	// LinkMegabits is the rate of a balancer's link in Mbit/s, each way. Zero
+	// means that the link has no bound.
 	LinkMegabits float64 `koanf:"link_megabits" validate:"min=0,max=1000000"`
+	// LinkShare is the share of its link's rate that a balancer sends at. What it
+	// carries then waits in its own queue, where short requests go first, and not
+	// in front of the link towards it.
+	LinkShare float64 `koanf:"link_share" validate:"gt=0,max=1"`
+	// LinkAdmission is the share of its route's objective in which the link has to
+	// carry a new flow's long request, after those that are open; a flow that would
+	// take longer is refused, so that its caller comes to another balancer. Zero
+	// admits all flows.
+	LinkAdmission float64 `koanf:"link_admission" validate:"min=0,max=10"`
 	// Followers bounds the balancers that a member feeds; more of them follow
 	// other balancers.
 	Followers int `koanf:"followers" validate:"min=1,max=10000"`
@@ -344,6 +353,8 @@
 		Direct: Direct{
 			Followers:         64,
 			PeerFollowers:     16,
+			LinkShare:         0.9,
+			LinkAdmission:     0.5,
 			LoadCandidates:    3,
 			LoadAdmission:     0.6,
 			LoadInterval:      40 * time.Millisecond,
--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -13,6 +13,7 @@
 	"merlinpaddle/internal/direct/outcome"
 	"merlinpaddle/internal/direct/requests"
 	"merlinpaddle/internal/direct/steer"
+	"merlinpaddle/internal/direct/transfer"
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/protocol"
 	"merlinpaddle/internal/sim/kernel"
@@ -28,6 +29,10 @@
 // peerFollowers bounds the balancers that a simulated balancer feeds.
 const peerFollowers = 16
 
+// linkAdmission is the share of its objective in which a link has to carry a long
+// request.
+const linkAdmission = 0.5
+
 // balancer is one balancer on a simulated process.
 type balancer struct {
 	world      *World
@@ -36,6 +41,9 @@
 	suspects   *forwarder.Suspects
 	watcher    *requests.Watcher
 	subscriber *feed.Subscriber
+	admission  *transfer.Admission
+	// link is nil where links have no bound.
+	link *link
 	// startedAt is when the present life began.
 	startedAt time.Time
 }
@@ -83,6 +91,10 @@
 	balancer.subscriber = subscriber
 	tracker := outcome.NewTracker(mailbox, subscriber.Following)
 	balancer.watcher = requests.NewWatcher(tracker, book)
+	balancer.admission = balancer.newAdmission()
+	if balancer.world.options.LinkRate > 0 {
+		balancer.link = newLink(balancer.world)
+	}
 	sharing := load.Options{
 		Interval: loadInterval, Neighbours: subscriber.Neighbours,
 		Collector: subscriber.FollowedMember, Capacities: balancer.table,
@@ -95,6 +107,16 @@
 	}
 }
 
+// newAdmission returns the admission to the balancer's link.
+func (balancer *balancer) newAdmission() *transfer.Admission {
+	world := balancer.world
+	sizes := transfer.NewSizes()
+	balancer.watcher.ObserveSizes(sizes)
+	options := transfer.Options{BytesPerSecond: world.options.LinkShare * world.options.LinkRate, Share: linkAdmission}
+	world.options.Parts.Transfers(&options)
+	return transfer.New(options, sizes, balancer.watcher.EachOpen)
+}
+
 // route returns a balancer for one packet of a flow: any active one that has a
 // table.
 func (world *World) route(flow *flow) *balancer {
@@ -122,9 +144,9 @@
 	now := balancer.process.LocalNow()
 	segment := packet.segment()
 	if segment.Opening && segment.Attempt > 0 {
-		segment.Tried = balancer.watcher.Tried(segment)
+		segment.Tried, segment.Seen = balancer.watcher.Tried(segment)
 	}
-	decision := world.options.Parts.Decide(balancer.table, segment, now)
+	decision := balancer.admission.Review(segment, world.options.Parts.Decide(balancer.table, segment, now))
 	world.checks.decided(balancer, packet, decision)
 	if decision.Suspect != 0 {
 		balancer.suspects.Note(decision.Suspect)
@@ -138,7 +160,7 @@
 		} else {
 			balancer.watcher.Note(segment, target, now)
 		}
-		world.deliver(balancer, packet, decision)
+		balancer.forward(packet, decision)
 	case steer.Reset:
 		world.packets.Send(balancer.process.Endpoint, packet.flow.endpoint(), func() {
 			packet.flow.reset(balancer)
--- a/internal/sim/directworld/caller.go
+++ b/internal/sim/directworld/caller.go
@@ -38,6 +38,8 @@
 	closing  bool
 	// acknowledges tells that the packet carries no data.
 	acknowledges bool
+	// piece is the number of a packet of an upload, from one.
+	piece int
 }
 
 // requestBytes is the length of one simulated request, and of one answer.
@@ -46,7 +48,15 @@
 func (packet packet) segment() steer.Segment {
 	hasData := packet.asked > 0 && !packet.closing && !packet.acknowledges
 	length := uint32(0)
-	if hasData {
+	sequence := uint32(packet.asked * requestBytes)
+	switch {
+	case packet.piece > 0:
+		length = pieceBytes
+		sequence = uint32(packet.piece * pieceBytes)
+		if packet.piece == uploadPieces {
+			length = lastPieceBytes
+		}
+	case hasData:
 		length = requestBytes
 	}
 	return steer.Segment{
@@ -58,7 +68,7 @@
 
 		HasData:         hasData,
 		Length:          length,
-		Sequence:        uint32(packet.asked * requestBytes),
+		Sequence:        sequence,
 		Acknowledgement: uint32(packet.answered * requestBytes),
 		Closing:         packet.closing,
 	}
@@ -86,6 +96,8 @@
 	// callEnded tells that its end was taken in.
 	call      *call
 	callEnded bool
+	// transfer is the upload that the flow is for, if it is for one.
+	transfer *uploadFlow
 }
 
 func (flow *flow) endpoint() kernel.Endpoint { return endpoint(flow.caller.String(), flow.zone) }
@@ -172,7 +184,7 @@
 	if through == nil {
 		return
 	}
-	flow.world.packets.Send(flow.endpoint(), through.process.Endpoint, func() { through.carry(packet) })
+	flow.world.packets.Send(flow.endpoint(), through.process.Endpoint, func() { through.throughLink(packet) })
 }
 
 // accepted opens the flow at the first target that took it.
@@ -183,6 +195,10 @@
 	flow.target = target
 	flow.token = token
 	flow.openedAt = flow.world.Now()
+	if flow.transfer != nil {
+		flow.transfer.begin()
+		return
+	}
 	flow.data()
 }
 
@@ -239,4 +255,7 @@
 	if flow.call != nil {
 		flow.call.ended(flow, false)
 	}
+	if flow.transfer != nil {
+		flow.transfer.failed()
+	}
 }
--- a/internal/sim/directworld/operator.go
+++ b/internal/sim/directworld/operator.go
@@ -22,7 +22,7 @@
 
 // base returns the configuration that every version contains.
 func (operator *operator) base(version uint64) *declared.Configuration {
-	route := func(name string, address netip.AddrPort, kind declared.RequestKind, service string) declared.Route {
+	route := func(name string, address netip.AddrPort, kind declared.RequestKind, service string, objective time.Duration) declared.Route {
 		return declared.Route{
 			Name: name, Address: address, Kind: kind, Timeout: time.Second, Objective: objective,
 			Pool: []declared.PoolPart{{Service: service, Weight: 1}},
@@ -32,8 +32,9 @@
 		Version:  version,
 		Services: []declared.Service{{Name: serviceFeed, HealthPath: "/health"}, {Name: serviceLedger, HealthPath: "/health"}},
 		Routes: []declared.Route{
-			route("feed", routeFeed, declared.KindSafe, serviceFeed),
-			route("ledger", routeLedger, declared.KindDownload, serviceLedger),
+			route("feed", routeFeed, declared.KindSafe, serviceFeed, objective),
+			route("ledger", routeLedger, declared.KindDownload, serviceLedger, objective),
+			route("upload", routeUpload, declared.KindUpload, serviceLedger, uploadObjective),
 		},
 	}
 }
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -95,6 +95,18 @@
 		change:  large,
 		play:    largeOverload,
 	},
+	{
+		name:    "direct-narrow-links",
+		summary: "uploads and calls share narrow links of balancers that carry a half more than what is asked",
+		change:  narrow,
+		play:    narrowLinks,
+	},
+	{
+		name:    "direct-full-links",
+		summary: "callers upload twice as much as the narrow links of all balancers carry, beside calls",
+		change:  narrow,
+		play:    fullLinks,
+	},
 	{
 		name:    "direct-leader-loss",
 		summary: "the leader is killed, loses power or stands still again and again under racing operators",
--- a/internal/sim/directworld/target.go
+++ b/internal/sim/directworld/target.go
@@ -276,6 +276,10 @@
 		return
 	}
 	target.flows[flow] = true
+	if flow.transfer != nil {
+		flow.transfer.take(target, packet.piece)
+		return
+	}
 	if flow.call != nil {
 		target.work(job{flow: flow, asked: packet.asked})
 		return
--- a/internal/sim/directworld/world.go
+++ b/internal/sim/directworld/world.go
@@ -15,6 +15,7 @@
 	"merlinpaddle/internal/direct/declared"
 	"merlinpaddle/internal/direct/load"
 	"merlinpaddle/internal/direct/steer"
+	"merlinpaddle/internal/direct/transfer"
 	"merlinpaddle/internal/filesystem"
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/replica"
@@ -26,6 +27,8 @@
 type Parts struct {
 	// Decide decides about a packet at a balancer.
 	Decide func(table *steer.Table, segment steer.Segment, now time.Time) steer.Decision
+	// Transfers changes how balancers admit long requests to their links.
+	Transfers func(options *transfer.Options)
 	// Choice changes how balancers choose targets and admit flows.
 	Choice func(options *steer.Options)
 	// Collecting changes how members add up the load of targets.
@@ -46,6 +49,7 @@
 		Decide: func(table *steer.Table, segment steer.Segment, now time.Time) steer.Decision {
 			return table.Decide(segment, now)
 		},
+		Transfers:  func(*transfer.Options) {},
 		Choice:     func(*steer.Options) {},
 		Collecting: func(*load.CollectorOptions) {},
 		Machine:    func(standard replica.StateMachine) replica.StateMachine { return standard },
@@ -70,6 +74,10 @@
 	Affine bool
 	// CallsOnly leaves the feed service to calls, whose requests take time there.
 	CallsOnly bool
+	// LinkRate is what a balancer's link carries each way, in bytes a second; zero
+	// means that it has no bound. LinkShare is the share of it that balancers send
+	// at.
+	LinkRate, LinkShare float64
 	// Skewed gives every process a clock of its own.
 	Skewed bool
 	Parts  Parts
@@ -84,6 +92,7 @@
 		TargetsPerZone:  2,
 		ToleratedLosses: 1,
 		Followers:       64,
+		LinkShare:       0.9,
 		Faults:          kernel.LinkFaults{Loss: 0.01, Duplication: 0.01, Jitter: 2 * time.Millisecond},
 		Parts:           StandardParts(),
 	}
@@ -101,6 +110,7 @@
 var (
 	routeFeed   = netip.MustParseAddrPort("198.18.0.1:443")
 	routeLedger = netip.MustParseAddrPort("198.18.0.2:443")
+	routeUpload = netip.MustParseAddrPort("198.18.0.3:443")
 )
 
 // settleTime is how long after its last disturbance a system must keep the
@@ -123,6 +133,7 @@
 	byAddress map[netip.AddrPort]*target
 	callers   *callers
 	calls     *calls
+	uploads   *uploads
 	operator  *operator
 	checks    *checks
 	nextID    uint64
@@ -152,6 +163,7 @@
 	world.checks = newChecks(world)
 	world.callers = newCallers(world)
 	world.calls = newCalls(world)
+	world.uploads = newUploads(world)
 	world.operator = newOperator(world)
 	world.disturbedAt = run.Scheduler.Now()
 	return world
--- a/internal/sim/mutant/direct.go
+++ b/internal/sim/mutant/direct.go
@@ -9,6 +9,7 @@
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/load"
 	"merlinpaddle/internal/direct/steer"
+	"merlinpaddle/internal/direct/transfer"
 	"merlinpaddle/internal/filesystem"
 	"merlinpaddle/internal/protocol"
 	"merlinpaddle/internal/sim"
@@ -218,3 +219,15 @@
 		},
 	}
 }
+
+func directLinksAdmitAll() Mutant {
+	return Mutant{
+		Name:   "direct-links-admit-all",
+		Breaks: "balancers take every upload, however full their links are",
+		Expect: []checker.Invariant{checker.InvariantTimely},
+		Story:  storyOf("direct-full-links"),
+		Variant: func(_ *sim.Run, parts *world.Parts) {
+			parts.Direct.Transfers = func(options *transfer.Options) { options.Share = 0 }
+		},
+	}
+}
--- a/internal/sim/mutant/table.go
+++ b/internal/sim/mutant/table.go
@@ -54,6 +54,7 @@
 		directAdmissionOff(),
 		directRefusesEarly(),
 		directLoadNotAddedUp(),
+		directLinksAdmitAll(),
 	}
 }
 
