Count and log messages and datagrams that were lost in silence

Fifteen places took a received message by its type and went on with an empty one when it was another: protocol.Receive is the one place now, it refuses and counts (merlinpaddle_control_messages_lost_total, also for full queues and messages that nobody handles). Datagrams that could not be written, read, encoded or decoded, and buffers that the kernel did not grant, are counted and logged (merlinpaddle_direct_socket_failures_total). Behaviour else is unchanged.

--- a/internal/board/queue.go
+++ b/internal/board/queue.go
@@ -10,6 +10,7 @@
 	lock     sync.Mutex
 	values   []Value
 	dropped  uint64
+	refused  uint64
 	notifier Notifier
 }
 
@@ -59,5 +60,19 @@
 	return queue.dropped
 }
 
+// Refuse counts a value that its reader could not take.
+func (queue *Queue[Value]) Refuse() {
+	queue.lock.Lock()
+	defer queue.lock.Unlock()
+	queue.refused++
+}
+
+// Refused returns how many values their reader could not take.
+func (queue *Queue[Value]) Refused() uint64 {
+	queue.lock.Lock()
+	defer queue.lock.Unlock()
+	return queue.refused
+}
+
 // Watch registers a channel that gets a notice after each Put.
 func (queue *Queue[Value]) Watch() <-chan struct{} { return queue.notifier.Watch() }
--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -23,6 +23,7 @@
 	"merlinpaddle/internal/direct/probe"
 	"merlinpaddle/internal/direct/renewal"
 	"merlinpaddle/internal/direct/requests"
+	"merlinpaddle/internal/direct/socketfault"
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/direct/transfer"
 	"merlinpaddle/internal/model"
@@ -169,10 +170,12 @@
 	return forwarder.NewSuspects(table, probe.New(probe.DialTCP), mailbox, subscriber.Following, logger.Named("targets"))
 }
 
-func provideForwarder(chosen settings.Settings, codec forwarder.Codec, table *steer.Table, suspects *forwarder.Suspects, watcher *requests.Watcher, admission *transfer.Admission, observer *observer) (*forwarder.Forwarder, error) {
+func provideForwarder(chosen settings.Settings, codec forwarder.Codec, table *steer.Table, suspects *forwarder.Suspects, watcher *requests.Watcher, admission *transfer.Admission,
+	observer *observer, registry *prometheus.Registry, logger *zap.Logger) (*forwarder.Forwarder, error) {
 	options := forwarder.Options{
 		Address:  chosen.Direct.Packets,
 		LinkRate: linkRate(chosen),
+		Failures: socketfault.New(registry, logger.Named("flows"), "packets"),
 	}
 	return forwarder.New(options, codec, table, suspects, watcher, admission, observer)
 }
--- a/internal/direct/balancernode/sharing.go
+++ b/internal/direct/balancernode/sharing.go
@@ -9,6 +9,7 @@
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/load"
 	"merlinpaddle/internal/direct/load/datagram"
+	"merlinpaddle/internal/direct/socketfault"
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/protocol"
 	"merlinpaddle/internal/settings"
@@ -39,7 +40,7 @@
 		exchange := load.NewExchange(options, book, outlet, dispatcher.Handle(load.Report{}))
 		return sharing{exchange: exchange, run: func(context.Context) error { return nil }}, nil
 	}
-	socket, err := datagram.Listen(chosen.Listen)
+	socket, err := datagram.Listen(chosen.Listen, socketfault.New(registry, logger.Named("load"), "load"))
 	if err != nil {
 		return sharing{}, err
 	}
--- a/internal/direct/feed/publisher.go
+++ b/internal/direct/feed/publisher.go
@@ -177,8 +177,8 @@
 
 // takeOthers takes in which balancers follow other members.
 func (publisher *Publisher) takeOthers(now time.Time) {
-	for _, envelope := range publisher.others.Drain() {
-		message, _ := envelope.Message.(Followers)
+	for _, received := range protocol.Receive[Followers](publisher.others) {
+		message := received.Message
 		for _, told := range message.Peers {
 			publisher.peers.hear(told, now)
 		}
@@ -246,18 +246,18 @@
 }
 
 func (publisher *Publisher) takeSubscriptions(now time.Time) {
-	for _, envelope := range publisher.subscriptions.Drain() {
-		asked, _ := envelope.Message.(Subscribe)
-		heard := Peer{Name: envelope.From, Zone: asked.Zone, Renewals: asked.Renewals}
-		known := publisher.followers[envelope.From]
+	for _, received := range protocol.Receive[Subscribe](publisher.subscriptions) {
+		asked := received.Message
+		heard := Peer{Name: received.From, Zone: asked.Zone, Renewals: asked.Renewals}
+		known := publisher.followers[received.From]
 		switch {
 		case known != nil:
 		case len(publisher.followers) >= publisher.options.Limit:
 			known = &follower{}
-			publisher.refused[envelope.From] = known
+			publisher.refused[received.From] = known
 		default:
 			known = &follower{}
-			publisher.followers[envelope.From] = known
+			publisher.followers[received.From] = known
 		}
 		if asked.Serves {
 			publisher.peers.hear(heard, now)
--- a/internal/direct/feed/reports.go
+++ b/internal/direct/feed/reports.go
@@ -42,16 +42,16 @@
 
 // Reconcile implements board.Controller.
 func (reports *Reports) Reconcile(time.Time) {
-	for _, envelope := range reports.health.Drain() {
-		report, _ := envelope.Message.(HealthReport)
-		if node, passes := reports.next(envelope.From, report.Hops); passes {
+	for _, received := range protocol.Receive[HealthReport](reports.health) {
+		report := received.Message
+		if node, passes := reports.next(received.From, report.Hops); passes {
 			report.Hops++
 			reports.mailbox.Send(node, report)
 		}
 	}
-	for _, envelope := range reports.outcomes.Drain() {
-		report, _ := envelope.Message.(OutcomeReport)
-		if node, passes := reports.next(envelope.From, report.Hops); passes {
+	for _, received := range protocol.Receive[OutcomeReport](reports.outcomes) {
+		report := received.Message
+		if node, passes := reports.next(received.From, report.Hops); passes {
 			report.Hops++
 			reports.mailbox.Send(node, report)
 		}
--- a/internal/direct/feed/subscriber.go
+++ b/internal/direct/feed/subscriber.go
@@ -184,9 +184,9 @@
 		subscriber.freshAt = now
 	}
 	subscriber.takeSeeds()
-	for _, envelope := range subscriber.updates.Drain() {
-		update, _ := envelope.Message.(Update)
-		subscriber.take(now, envelope.From, update)
+	for _, received := range protocol.Receive[Update](subscriber.updates) {
+		update := received.Message
+		subscriber.take(now, received.From, update)
 	}
 	if now.Sub(subscriber.freshAt) > silenceLimit {
 		subscriber.lose()
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/egress"
 	"merlinpaddle/internal/direct/requests"
+	"merlinpaddle/internal/direct/socketfault"
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/faults"
 )
@@ -79,6 +80,7 @@
 	admission Admission
 	parking   *parking
 	egress    *egress.Egress
+	failures  *socketfault.Counter
 }
 
 // Options are what a forwarder works with.
@@ -88,6 +90,8 @@
 	// LinkRate is the rate to send at, in bytes a second; zero means that it has
 	// no bound.
 	LinkRate float64
+	// Failures counts what fails at the socket.
+	Failures *socketfault.Counter
 }
 
 // New opens the socket.
@@ -101,9 +105,9 @@
 		return nil, faults.New(faults.PacketSocket, "direct.packets: listen on %s: %v", options.Address, err)
 	}
 	// A smaller buffer than asked for loses packets earlier; nothing else.
-	_ = socket.SetReadBuffer(socketBufferBytes)
-	_ = socket.SetWriteBuffer(socketBufferBytes)
-	forwarder := &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, requests: requests, admission: admission, observer: observer, parking: newParking()}
+	options.Failures.Note(socketfault.Buffer, socket.SetReadBuffer(socketBufferBytes))
+	options.Failures.Note(socketfault.Buffer, socket.SetWriteBuffer(socketBufferBytes))
+	forwarder := &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, requests: requests, admission: admission, observer: observer, parking: newParking(), failures: options.Failures}
 	forwarder.egress = egress.New(options.LinkRate, forwarder.write)
 	return forwarder, nil
 }
@@ -139,6 +143,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return err
 		case err != nil:
+			forwarder.failures.Note(socketfault.Read, err)
 			continue
 		}
 		forwarder.carry(buffer[:headroom+size], headroom, time.Now())
@@ -234,5 +239,6 @@
 
 // write writes one datagram. A lost one is sent again by its sender.
 func (forwarder *Forwarder) write(content []byte, to netip.AddrPort) {
-	_, _ = forwarder.socket.WriteToUDPAddrPort(content, to)
+	_, err := forwarder.socket.WriteToUDPAddrPort(content, to)
+	forwarder.failures.Note(socketfault.Write, err)
 }
--- a/internal/direct/forwarder/forwarder_test.go
+++ b/internal/direct/forwarder/forwarder_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
@@ -19,6 +20,7 @@
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/probe"
 	"merlinpaddle/internal/direct/requests"
+	"merlinpaddle/internal/direct/socketfault"
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/faults"
 	"merlinpaddle/internal/model"
@@ -168,6 +170,10 @@
 
 func portOf(socket *net.UDPConn) uint16 { return socket.LocalAddr().(*net.UDPAddr).AddrPort().Port() }
 
+func newFailures() *socketfault.Counter {
+	return socketfault.New(prometheus.NewRegistry(), zap.NewNop(), "packets")
+}
+
 func newRig(t *testing.T) *rig {
 	t.Helper()
 	made := &rig{
@@ -177,7 +183,7 @@
 	mailbox := protocol.NewMailbox("balancer")
 	suspects := NewSuspects(made.table, probe.New(probe.DialTCP), mailbox, func() model.NodeName { return "" }, zap.NewNop())
 	var err error
-	made.forwarder, err = New(Options{Address: "127.0.0.1:0"}, codec{}, made.table, suspects, made.counter, made.link, made.counter)
+	made.forwarder, err = New(Options{Address: "127.0.0.1:0", Failures: newFailures()}, codec{}, made.table, suspects, made.counter, made.link, made.counter)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -365,7 +371,7 @@
 
 func TestAddressInUseIsToldByField(t *testing.T) {
 	taken := socket(t)
-	_, err := New(Options{Address: taken.LocalAddr().String()}, codec{}, steer.NewTable(steer.DefaultOptions()), nil, nil, nil, nil)
+	_, err := New(Options{Address: taken.LocalAddr().String(), Failures: newFailures()}, codec{}, steer.NewTable(steer.DefaultOptions()), nil, nil, nil, nil)
 	require.Equal(t, faults.PacketSocket, faults.CodeOf(err))
 	require.ErrorContains(t, err, "direct.packets")
 }
--- a/internal/direct/load/collector.go
+++ b/internal/direct/load/collector.go
@@ -79,13 +79,12 @@
 
 // Reconcile implements board.Controller.
 func (collector *Collector) Reconcile(now time.Time) {
-	envelopes := collector.reports.Drain()
+	reports := protocol.Receive[Report](collector.reports)
 	if collector.options.Interval == 0 {
 		return
 	}
-	for _, envelope := range envelopes {
-		report, _ := envelope.Message.(Report)
-		collector.take(envelope.From, report, now)
+	for _, received := range reports {
+		collector.take(received.From, received.Message, now)
 	}
 	dropSilent(collector.balancers, now)
 	dropSilent(collector.members, now)
--- a/internal/direct/load/datagram/socket.go
+++ b/internal/direct/load/datagram/socket.go
@@ -15,6 +15,7 @@
 
 	"merlinpaddle/internal/board"
 	"merlinpaddle/internal/direct/load"
+	"merlinpaddle/internal/direct/socketfault"
 	"merlinpaddle/internal/faults"
 	"merlinpaddle/internal/gobstream"
 	"merlinpaddle/internal/model"
@@ -35,12 +36,13 @@
 	encoders *gobstream.Encoders
 	decoders *gobstream.Decoders
 	reports  *board.Queue[protocol.Envelope]
+	failures *socketfault.Counter
 }
 
 var _ load.Outlet = (*Socket)(nil)
 
-// Listen opens a socket at the node's own address.
-func Listen(address string) (*Socket, error) {
+// Listen opens a socket at the node's own address. What fails later is counted.
+func Listen(address string, failures *socketfault.Counter) (*Socket, error) {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, faults.New(faults.PacketSocket, "load reports: %v", err)
@@ -54,6 +56,7 @@
 		encoders: gobstream.NewEncoders(),
 		decoders: gobstream.NewDecoders(),
 		reports:  board.NewQueue[protocol.Envelope]("load reports", waitingReports),
+		failures: failures,
 	}, nil
 }
 
@@ -69,13 +72,19 @@
 // that gets lost on its way.
 func (socket *Socket) Tell(nodes []model.NodeName, report load.Report) {
 	content, err := socket.encoders.Encode(report)
-	if err != nil || len(content) > maximumReport {
+	if err == nil && len(content) > maximumReport {
+		err = faults.New(faults.PacketSocket, "load report: %d targets take %d bytes, more than %d", len(report.Entries), len(content), maximumReport)
+	}
+	if err != nil {
+		socket.failures.Note(socketfault.Encode, err)
 		return
 	}
 	for _, node := range nodes {
-		if address, err := netip.ParseAddrPort(string(node)); err == nil {
-			_, _ = socket.socket.WriteToUDPAddrPort(content, address)
+		address, err := netip.ParseAddrPort(string(node))
+		if err == nil {
+			_, err = socket.socket.WriteToUDPAddrPort(content, address)
 		}
+		socket.failures.Note(socketfault.Write, err)
 	}
 }
 
@@ -92,6 +101,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return err
 		case err != nil:
+			socket.failures.Note(socketfault.Read, err)
 			continue
 		}
 		socket.take(buffer[:size], from)
@@ -102,6 +112,7 @@
 func (socket *Socket) take(content []byte, from netip.AddrPort) {
 	var report load.Report
 	if err := socket.decoders.Decode(content, reflect.ValueOf(&report)); err != nil {
+		socket.failures.Note(socketfault.Decode, err)
 		return
 	}
 	socket.reports.Put(protocol.Envelope{From: model.NodeName(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()), Message: report})
--- a/internal/direct/load/datagram/socket_test.go
+++ b/internal/direct/load/datagram/socket_test.go
@@ -6,10 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
 
 	"merlinpaddle/internal/direct/load"
+	"merlinpaddle/internal/direct/socketfault"
 	"merlinpaddle/internal/faults"
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/protocol"
@@ -20,9 +23,13 @@
 // conditionTimeout bounds waits for a condition; it is no measure of speed.
 const conditionTimeout = 20 * time.Second
 
+func newFailures() *socketfault.Counter {
+	return socketfault.New(prometheus.NewRegistry(), zap.NewNop(), "load")
+}
+
 func listen(t *testing.T) *Socket {
 	t.Helper()
-	socket, err := Listen("127.0.0.1:0")
+	socket, err := Listen("127.0.0.1:0", newFailures())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -64,8 +71,8 @@
 
 func TestAddressInUseIsSaid(t *testing.T) {
 	taken := listen(t)
-	_, err := Listen(taken.Address().String())
+	_, err := Listen(taken.Address().String(), newFailures())
 	require.Equal(t, faults.PacketSocket, faults.CodeOf(err))
-	_, err = Listen("no address")
+	_, err = Listen("no address", newFailures())
 	require.Equal(t, faults.PacketSocket, faults.CodeOf(err))
 }
--- a/internal/direct/load/exchange.go
+++ b/internal/direct/load/exchange.go
@@ -112,7 +112,7 @@
 
 // Reconcile implements board.Controller.
 func (exchange *Exchange) Reconcile(now time.Time) {
-	envelopes := exchange.reports.Drain()
+	reports := protocol.Receive[Report](exchange.reports)
 	if now.Sub(exchange.forgottenAt) >= forgetInterval {
 		exchange.forgottenAt = now
 		exchange.book.forgetIdle()
@@ -122,9 +122,8 @@
 	}
 	neighbours := exchange.options.Neighbours()
 	exchange.setMode(len(neighbours) == 0)
-	for _, envelope := range envelopes {
-		report, _ := envelope.Message.(Report)
-		exchange.takeReport(envelope.From, report, now)
+	for _, received := range reports {
+		exchange.takeReport(received.From, received.Message, now)
 	}
 	exchange.dropSilent(now)
 	exchange.entries = exchange.book.appendOwn(exchange.entries[:0])
--- a/internal/direct/member/collecting.go
+++ b/internal/direct/member/collecting.go
@@ -9,6 +9,7 @@
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/load"
 	"merlinpaddle/internal/direct/load/datagram"
+	"merlinpaddle/internal/direct/socketfault"
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/protocol"
 	"merlinpaddle/internal/replica"
@@ -37,7 +38,7 @@
 		collector := load.NewCollector(self, options, load.MailboxOutlet{Mailbox: mailbox}, dispatcher.Handle(load.Report{}))
 		return collecting{collector: collector, run: func(context.Context) error { return nil }}, nil
 	}
-	socket, err := datagram.Listen(chosen.Listen)
+	socket, err := datagram.Listen(chosen.Listen, socketfault.New(registry, logger.Named("load"), "load"))
 	if err != nil {
 		return collecting{}, err
 	}
--- a/internal/direct/registrar/health_outcomes.go
+++ b/internal/direct/registrar/health_outcomes.go
@@ -7,14 +7,15 @@
 
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
+	"merlinpaddle/internal/protocol"
 )
 
 // judgeOutcomes sets targets aside that leave requests unanswered, and brings
 // them back after a while. The directory says which are aside, so that another
 // leader goes on from there.
 func (health *Health) judgeOutcomes(now time.Time) {
-	for _, envelope := range health.outcomes.Drain() {
-		report, _ := envelope.Message.(feed.OutcomeReport)
+	for _, received := range protocol.Receive[feed.OutcomeReport](health.outcomes) {
+		report := received.Message
 		health.judge.Take(report, now)
 	}
 	if now.Sub(health.judgedAt) < judgeInterval {
--- a/internal/direct/registrar/health_renewals.go
+++ b/internal/direct/registrar/health_renewals.go
@@ -8,6 +8,7 @@
 	"merlinpaddle/internal/board"
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/protocol"
 )
 
 // renewalInterval is the time between two messages that fold renewals.
@@ -17,8 +18,8 @@
 // the last call, and those that other members told.
 func (health *Health) takeRenewals(now time.Time) []Renewal {
 	var renewals []Renewal
-	for _, envelope := range health.renewals.Drain() {
-		message, _ := envelope.Message.(Renewals)
+	for _, received := range protocol.Receive[Renewals](health.renewals) {
+		message := received.Message
 		renewals = append(renewals, message.Targets...)
 	}
 	if now.Sub(health.toldAt) < renewalInterval {
--- a/internal/direct/registrar/health_verdict.go
+++ b/internal/direct/registrar/health_verdict.go
@@ -10,11 +10,12 @@
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/probe"
 	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/protocol"
 )
 
 func (health *Health) takeReports(now time.Time) {
-	for _, envelope := range health.reports.Drain() {
-		report, _ := envelope.Message.(feed.HealthReport)
+	for _, received := range protocol.Receive[feed.HealthReport](health.reports) {
+		report := received.Message
 		target, exists := health.directory.Target(report.ID)
 		if !exists || target.State == directory.TargetFailed {
 			continue
--- a/internal/direct/registrar/proposer.go
+++ b/internal/direct/registrar/proposer.go
@@ -155,8 +155,8 @@
 		begun.begunAt = now
 		proposer.try(now, begun)
 	}
-	for _, envelope := range proposer.replies.Drain() {
-		reply, _ := envelope.Message.(Reply)
+	for _, received := range protocol.Receive[Reply](proposer.replies) {
+		reply := received.Message
 		ended := attemptEnd{attempt: reply.Correlation, reply: reply}
 		if reply.Code != 0 {
 			ended.err = faults.New(reply.Code, "%s", reply.Text)
@@ -171,16 +171,16 @@
 
 // serve handles the requests of other members.
 func (proposer *Proposer) serve() {
-	for _, envelope := range proposer.proposals.Drain() {
-		asked, _ := envelope.Message.(ProposeRequest)
+	for _, received := range protocol.Receive[ProposeRequest](proposer.proposals) {
+		asked := received.Message
 		proposer.group.Submit(asked.Command, func(result []byte, err error) {
-			proposer.answer(envelope.From, asked.Correlation, result, err)
+			proposer.answer(received.From, asked.Correlation, result, err)
 		})
 	}
-	for _, envelope := range proposer.reads.Drain() {
-		asked, _ := envelope.Message.(ReadRequest)
+	for _, received := range protocol.Receive[ReadRequest](proposer.reads) {
+		asked := received.Message
 		proposer.group.ReadBarrier(func(err error) {
-			proposer.answer(envelope.From, asked.Correlation, nil, err)
+			proposer.answer(received.From, asked.Correlation, nil, err)
 		})
 	}
 }
--- a/internal/direct/renewal/relay.go
+++ b/internal/direct/renewal/relay.go
@@ -96,8 +96,8 @@
 // takePassed keeps the renewals that balancers which follow this one took, for
 // the next message.
 func (relay *Relay) takePassed(now time.Time) {
-	for _, envelope := range relay.passed.Drain() {
-		message, _ := envelope.Message.(registrar.Renewals)
+	for _, received := range protocol.Receive[registrar.Renewals](relay.passed) {
+		message := received.Message
 		for _, renewal := range message.Targets {
 			relay.renewed.Update(renewal.ID, func(at time.Time, exists bool) (time.Time, bool) {
 				passed := now.Add(-renewal.Ago)
--- a/internal/protocol/dispatcher.go
+++ b/internal/protocol/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"sync/atomic"
 	"time"
 
 	"merlinpaddle/internal/board"
@@ -14,6 +15,8 @@
 	queues  map[reflect.Type]*board.Queue[Envelope]
 	// acceptsPassed tells that messages which relays passed on end here.
 	acceptsPassed bool
+	// unhandled counts messages that no controller handles.
+	unhandled atomic.Uint64
 }
 
 // NewDispatcher returns a dispatcher without routes. Routes are added before
@@ -41,7 +44,8 @@
 // Name implements board.Controller.
 func (dispatcher *Dispatcher) Name() string { return "dispatcher" }
 
-// Reconcile implements board.Controller. Messages without a route are dropped.
+// Reconcile implements board.Controller. Messages without a route are
+// dropped and counted.
 func (dispatcher *Dispatcher) Reconcile(time.Time) {
 	for _, envelope := range dispatcher.mailbox.Inbox.Drain() {
 		if dispatcher.acceptsPassed {
@@ -49,6 +53,8 @@
 		}
 		if queue, exists := dispatcher.queues[reflect.TypeOf(envelope.Message)]; exists {
 			queue.Put(envelope)
+		} else {
+			dispatcher.unhandled.Add(1)
 		}
 	}
 }
--- a/internal/replica/controller.go
+++ b/internal/replica/controller.go
@@ -183,10 +183,10 @@
 }
 
 func (controller *Controller) takeMessages(now time.Time) {
-	for _, envelope := range controller.messages.Drain() {
-		message, _ := envelope.Message.(raft.Message)
+	for _, received := range protocol.Receive[raft.Message](controller.messages) {
+		message := received.Message
 		if message.Group == controller.storage.identity.Group {
-			controller.names[message.From] = envelope.From
+			controller.names[message.From] = received.From
 		}
 		controller.core.Step(now, message)
 	}
--- a/internal/transport/module.go
+++ b/internal/transport/module.go
@@ -71,7 +71,8 @@
 	}
 }
 
-func run(lifecycle fx.Lifecycle, links *Links, dispatcher *protocol.Dispatcher, mailbox *protocol.Mailbox, tasks *process.Tasks) {
+func run(lifecycle fx.Lifecycle, links *Links, dispatcher *protocol.Dispatcher, mailbox *protocol.Mailbox, registry *prometheus.Registry, tasks *process.Tasks) {
+	registry.MustRegister(newLosses(dispatcher))
 	runner := board.NewRunner(dispatcher, dispatchInterval, mailbox.Inbox.Watch())
 	lifecycle.Append(fx.StartHook(func() error {
 		if err := links.Listen(); err != nil {
