--- a/internal/direct/feed/publisher.go
+++ b/internal/direct/feed/publisher.go
@@ -82,6 +82,7 @@
 	toldAt time.Time
 	// toldFollowers is the number of followers then.
 	toldFollowers int
+	prepared      preparedChanges
 }
 
 // PublisherOptions are what a publisher works with.
@@ -100,6 +101,7 @@
 		subscriptions: dispatcher.Handle(Subscribe{}),
 		others:        dispatcher.Handle(Followers{}),
 		store:         store,
+		prepared:      preparedChanges{store: store},
 		source:        source,
 		options:       options,
 		followers:     make(map[model.NodeName]*follower),
@@ -135,7 +137,7 @@
 	publisher.shownPeers.Store(publisher.peers.list())
 	publisher.tellMembers(now)
 	batch := batch{
-		store:    publisher.store,
+		prepared: &publisher.prepared,
 		revision: publisher.store.Revision(),
 		members:  publisher.source.Members(),
 		depth:    publisher.source.Depth(),
@@ -207,42 +209,20 @@
 	}
 }
 
-// batch makes the updates of one Reconcile; followers that are at the same
-// revision share their changes.
+// batch makes the updates of one Reconcile.
 type batch struct {
-	store    Store
+	prepared *preparedChanges
 	revision model.Revision
 	age      time.Duration
 	fresh    bool
 	members  []model.NodeName
 	depth    uint8
 	pause    time.Duration
-	same     directory.Changes
-	packed   []byte
-	from     model.Revision
-	made     bool
 }
 
 func (batch *batch) update(from model.Revision) Update {
-	if !batch.made || batch.from != from {
-		batch.take(batch.store.ChangesSince(from))
-		batch.from = from
-		batch.made = true
-	}
-	return Update{Changes: batch.same, Packed: batch.packed, Fresh: batch.fresh, Age: batch.age, Depth: batch.depth, Members: batch.members}
-}
-
-// take keeps changes for the next followers, packed when there are many.
-func (batch *batch) take(changes directory.Changes) {
-	batch.same = changes
-	batch.packed = nil
-	if changes.Size() < packFrom {
-		return
-	}
-	if packed, err := pack(changes); err == nil {
-		batch.packed = packed
-		batch.same = directory.Changes{Whole: changes.Whole, From: changes.From, To: changes.To, Version: changes.Version}
-	}
+	changes := batch.prepared.since(from)
+	return Update{Changes: changes.same, Packed: changes.packed, Fresh: batch.fresh, Age: batch.age, Depth: batch.depth, Members: batch.members}
 }
 
 func (publisher *Publisher) takeSubscriptions(now time.Time) {
