Let a panicking controller end its process; prepare changes of an empty store

Cause: board.Runner waited in a deferred call for goroutines that end with its context only, so that a panic of a controller never reached the task that ends the process: it went on without the controller, in silence. Both mended, each with a test that fails before.

--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -109,3 +109,25 @@
 		synctest.Wait()
 	})
 }
+
+// failing is a controller that panics in its second call.
+type failing struct{ calls int }
+
+func (*failing) Name() string { return "failing" }
+
+func (failing *failing) Reconcile(time.Time) {
+	failing.calls++
+	if failing.calls == 2 {
+		panic("broken")
+	}
+}
+
+// TestPanicOfAControllerLeavesRun: the runner must not wait for its other goroutines,
+// which would keep the process alive without the controller.
+func TestPanicOfAControllerLeavesRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		notifier := &Notifier{}
+		runner := NewRunner(&failing{}, time.Second, notifier.Watch())
+		require.PanicsWithValue(t, "broken", func() { runner.Run(t.Context()) })
+	})
+}
--- a/internal/board/runner.go
+++ b/internal/board/runner.go
@@ -19,8 +19,10 @@
 	return &Runner{controller: controller, interval: interval, sources: sources}
 }
 
-// Run calls the controller until ctx ends.
+// Run calls the controller until ctx ends. A panic of the controller leaves Run, so
+// that the process ends instead of going on without the controller.
 func (runner *Runner) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
 	notices := make(chan struct{}, 1)
 	var forwarders sync.WaitGroup
 	for _, source := range runner.sources {
@@ -31,6 +33,7 @@
 		}()
 	}
 	defer forwarders.Wait()
+	defer cancel()
 	ticker := time.NewTicker(runner.interval)
 	defer ticker.Stop()
 	for {
--- a/internal/direct/feed/prepared.go
+++ b/internal/direct/feed/prepared.go
@@ -21,16 +21,21 @@
 // node pack the same table for each of them.
 type preparedChanges struct {
 	store Store
-	// revision is the one up to which the kept changes go.
+	// revision is the one up to which the kept changes go, and from has them by the
+	// revision that they begin at.
 	revision model.Revision
 	from     map[model.Revision]prepared
 }
 
+func newPreparedChanges(store Store) preparedChanges {
+	return preparedChanges{store: store, from: make(map[model.Revision]prepared)}
+}
+
 // since returns the changes after a revision.
 func (changes *preparedChanges) since(from model.Revision) prepared {
 	if revision := changes.store.Revision(); revision != changes.revision || len(changes.from) >= preparedKept {
 		changes.revision = revision
-		changes.from = make(map[model.Revision]prepared)
+		clear(changes.from)
 	}
 	if known, exists := changes.from[from]; exists {
 		return known
--- a/internal/direct/feed/prepared_test.go
+++ b/internal/direct/feed/prepared_test.go
@@ -26,7 +26,7 @@
 
 func TestChangesArePreparedOnceForEachRevision(t *testing.T) {
 	store := &countingStore{revision: 9}
-	changes := preparedChanges{store: store}
+	changes := newPreparedChanges(store)
 	whole := changes.since(0)
 	require.NotEmpty(t, whole.packed)
 	for range 50 {
@@ -39,8 +39,14 @@
 	require.Equal(t, 3, store.asked)
 }
 
+// TestEmptyStoresArePrepared: a member that has just started is at no revision.
+func TestEmptyStoresArePrepared(t *testing.T) {
+	changes := newPreparedChanges(&countingStore{})
+	require.Zero(t, changes.since(0).same.To)
+}
+
 func TestPreparedChangesAreBounded(t *testing.T) {
-	changes := preparedChanges{store: &countingStore{revision: 100}}
+	changes := newPreparedChanges(&countingStore{revision: 100})
 	for from := range model.Revision(5 * preparedKept) {
 		require.Equal(t, from, changes.since(from).same.From)
 		require.LessOrEqual(t, len(changes.from), preparedKept)
@@ -51,7 +57,7 @@
 // may answer with a later revision than it told.
 func TestChangesDuringThePreparationAreNotKept(t *testing.T) {
 	store := &movingStore{}
-	changes := preparedChanges{store: store}
+	changes := newPreparedChanges(store)
 	require.Equal(t, model.Revision(2), changes.since(0).same.To)
 	require.Empty(t, changes.from)
 }
--- a/internal/direct/feed/publisher.go
+++ b/internal/direct/feed/publisher.go
@@ -101,7 +101,7 @@
 		subscriptions: dispatcher.Handle(Subscribe{}),
 		others:        dispatcher.Handle(Followers{}),
 		store:         store,
-		prepared:      preparedChanges{store: store},
+		prepared:      newPreparedChanges(store),
 		source:        source,
 		options:       options,
 		followers:     make(map[model.NodeName]*follower),
