--- a/internal/direct/steer/steer_test.go
+++ b/internal/direct/steer/steer_test.go
@@ -299,7 +299,7 @@
 // BenchmarkDecide compares a decision for a direct service with the chain of a
 // bucket, which services with agents use.
 func BenchmarkDecide(b *testing.B) {
-	for _, count := range []int{14, 120} {
+	for _, count := range []int{14, 120, 480} {
 		table := tableOf(b, whole(count))
 		b.Run(fmt.Sprintf("open/targets=%d", count), func(b *testing.B) {
 			b.ReportAllocs()
--- a/internal/direct/transfer/admission_test.go
+++ b/internal/direct/transfer/admission_test.go
@@ -147,3 +147,23 @@
 	sizes.Whole(netip.AddrPortFrom(uploads.Addr(), 1), 700)
 	require.Equal(t, 600, sizes.Typical(netip.AddrPortFrom(uploads.Addr(), 1)), "known routes go on")
 }
+
+// BenchmarkConsider decides about an upload while a watcher follows as many requests
+// as a busy balancer has open: the most expensive decision.
+func BenchmarkConsider(b *testing.B) {
+	const openRequests = 256
+	watcher := requests.NewWatcher()
+	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for port := range uint16(openRequests) {
+		segment := steer.Segment{
+			Caller:  netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), port+1024),
+			Service: calls, HasData: true, Length: 900, Sequence: 1,
+		}
+		watcher.Note(segment, requests.Target{Token: 7}, begin)
+	}
+	admission := New(Options{BytesPerSecond: rate, Share: 0.5}, learned(), watcher.EachOpen)
+	b.ReportAllocs()
+	for b.Loop() {
+		admission.Consider(uploads, objective)
+	}
+}
