--- a/internal/sim/directworld/stories_load.go
+++ b/internal/sim/directworld/stories_load.go
@@ -28,7 +28,7 @@
 }
 
 func heavyLoad(world *World) {
-	world.feedTarget().bench.slowness = 3
+	world.feedTarget().slots.slowness = 3
 	world.after(4*time.Second, func() {
 		replaced := world.feedTarget()
 		world.AddTarget(replaced.service, replaced.zone)
--- a/internal/sim/directworld/target.go
+++ b/internal/sim/directworld/target.go
@@ -36,8 +36,8 @@
 	// and hung has the flows with such a request.
 	grey float64
 	hung map[*flow]int
-	// bench has the requests of calls.
-	bench bench
+	// slots has the requests of calls.
+	slots slots
 }
 
 // AddTarget starts a target of service at an address of its own.
@@ -59,7 +59,7 @@
 		alive:   true,
 		flows:   make(map[*flow]bool),
 		hung:    make(map[*flow]int),
-		bench:   bench{taken: make(map[*flow]bool)},
+		slots:   slots{taken: make(map[*flow]bool)},
 		member:  world.random.Below(len(world.members)),
 	}
 	world.targets = append(world.targets, added)
--- a/internal/sim/directworld/uploads.go
+++ b/internal/sim/directworld/uploads.go
@@ -157,9 +157,9 @@
 	perSecond int
 	running   bool
 	counting  bool
-	// asked, timely and tried count the uploads that began while they were
-	// counted, those that were answered within the objective, and the flows that
-	// those which were answered took.
+	// asked, timely and served count the uploads that began while they were counted,
+	// those that were answered within the objective, and at all; tried counts the
+	// flows that the answered ones took.
 	asked, timely, served, tried int
 }
 
@@ -196,10 +196,7 @@
 // their objective, and that those that were answered took few tries.
 func (checks *checks) timelyUploads(timelyShare, triesEach float64) {
 	uploads := checks.world.uploads
-	if share := float64(uploads.timely) / float64(max(uploads.asked, 1)); share < timelyShare {
-		checks.violate(checker.InvariantTimely, "%d of %d uploads were answered within %s, %d at all; %.2f are demanded",
-			uploads.timely, uploads.asked, uploadObjective, uploads.served, timelyShare)
-	}
+	checks.timely("uploads", tally{uploads.asked, uploads.timely, uploads.served}, uploadObjective, timelyShare)
 	if each := float64(uploads.tried) / float64(max(uploads.served, 1)); each > triesEach {
 		checks.violate(checker.InvariantTimely, "%d tries for %d uploads that were answered", uploads.tried, uploads.served)
 	}
--- a/internal/sim/directworld/work.go
+++ b/internal/sim/directworld/work.go
@@ -27,8 +27,8 @@
 	asked int
 }
 
-// bench is a target's place of work.
-type bench struct {
+// slots are what a target works on requests with, and the queue in front of them.
+type slots struct {
 	running int
 	queue   []job
 	// taken has the flows whose request is running or waits.
@@ -41,35 +41,35 @@
 // and one too many is refused.
 func (target *target) work(next job) {
 	world := target.world
-	if target.bench.taken[next.flow] || next.flow.answered >= next.asked {
+	if target.slots.taken[next.flow] || next.flow.answered >= next.asked {
 		return
 	}
 	world.calls.arrived++
 	switch {
-	case target.bench.running < slotsPerTarget:
-		target.bench.taken[next.flow] = true
+	case target.slots.running < slotsPerTarget:
+		target.slots.taken[next.flow] = true
 		target.run(next)
-	case len(target.bench.queue) < queuePerTarget:
-		target.bench.taken[next.flow] = true
-		target.bench.queue = append(target.bench.queue, next)
+	case len(target.slots.queue) < queuePerTarget:
+		target.slots.taken[next.flow] = true
+		target.slots.queue = append(target.slots.queue, next)
 	default:
 		target.answer(next, false)
 	}
 }
 
 func (target *target) run(next job) {
-	target.bench.running++
-	duration := target.world.calls.random.Between(workLeast, workMost) * time.Duration(max(target.bench.slowness, 1))
+	target.slots.running++
+	duration := target.world.calls.random.Between(workLeast, workMost) * time.Duration(max(target.slots.slowness, 1))
 	target.world.after(duration, func() {
-		target.bench.running--
-		delete(target.bench.taken, next.flow)
+		target.slots.running--
+		delete(target.slots.taken, next.flow)
 		if !target.alive {
 			return
 		}
 		target.answer(next, true)
-		if len(target.bench.queue) > 0 {
-			following := target.bench.queue[0]
-			target.bench.queue = target.bench.queue[1:]
+		if len(target.slots.queue) > 0 {
+			following := target.slots.queue[0]
+			target.slots.queue = target.slots.queue[1:]
 			target.run(following)
 		}
 	})
@@ -184,14 +184,22 @@
 	}
 }
 
+// tally counts what was asked, answered within an objective, and answered at all.
+type tally struct{ asked, timely, served int }
+
+// timely demands that enough of what was asked was answered within the objective.
+func (checks *checks) timely(what string, counted tally, objective time.Duration, timelyShare float64) {
+	if share := float64(counted.timely) / float64(max(counted.asked, 1)); share < timelyShare {
+		checks.violate(checker.InvariantTimely, "%d of %d %s were answered within %s, %d at all; %.2f are demanded",
+			counted.timely, counted.asked, what, objective, counted.served, timelyShare)
+	}
+}
+
 // timelyCalls demands that enough of the counted calls were answered within the
 // objective, and that callers' tries did not multiply them at the targets.
 func (checks *checks) timelyCalls(timelyShare, arrivalsEach float64) {
 	calls := checks.world.calls
-	if share := float64(calls.timely) / float64(max(calls.asked, 1)); share < timelyShare {
-		checks.violate(checker.InvariantTimely, "%d of %d calls were answered within %s, %d at all; %.2f are demanded",
-			calls.timely, calls.asked, objective, calls.served, timelyShare)
-	}
+	checks.timely("calls", tally{calls.asked, calls.timely, calls.served}, objective, timelyShare)
 	if each := float64(calls.arrived) / float64(max(calls.asked, 1)); each > arrivalsEach {
 		checks.violate(checker.InvariantTimely, "%d requests reached targets for %d calls", calls.arrived, calls.asked)
 	}
