--- a/internal/direct/egress/egress.go
+++ b/internal/direct/egress/egress.go
@@ -2,9 +2,9 @@
 // them. A link that is full loses datagrams, and their senders repeat them only
 // after a retransmission timeout; a queue in front of the link loses none.
 //
-// Flows share the link fairly: a long upload delays neither an opening packet
-// nor a short request. Data that its sender repeats while the first copy still
-// waits is sent once.
+// Short flows share the link fairly and go before long ones, which go one after
+// the other: an upload delays neither an opening packet nor a short request. Data
+// that its sender repeats while the first copy still waits is sent once.
 package egress
 
 import (
--- a/internal/direct/egress/queue.go
+++ b/internal/direct/egress/queue.go
@@ -42,10 +42,10 @@
 	// eight full datagrams. Requests without a body of their own are far below; an
 	// upload passes it within its first window.
 	longFrom = 8 * quantum
-	// longTurns is the number of long flows, the oldest first, that share what
-	// short flows leave of the link. Of two, one fills the link while the other
-	// waits for an acknowledgement; each further one would only make the data of
-	// all wait longer than senders do before they repeat it.
+	// longTurns is the number of long flows, the oldest first, that share by turns
+	// what short flows leave of the link. One alone fills it; beside two or more
+	// others its data would wait longer than senders do before they repeat it
+	// (docs/LARGE-FLEETS.md, round 4).
 	longTurns = 1
 	// longRests is how long a long flow may have nothing to send before it loses
 	// its place: senders repeat what was not acknowledged after 1.6 s at the most.
@@ -70,9 +70,9 @@
 // round robin, those that just began to wait before those that have waited
 // through a turn (RFC 8290, section 4, without its dropping of packets by their
 // time in the queue). A flow that has put longFrom bytes into the queue moves to
-// the lower level: long flows share what is left, few at a time in the order of
-// their age, because the data of a flow that waits for its turn is repeated by
-// its sender, over and over.
+// the lower level: of long flows the oldest with something to send has what is
+// left, because the data of a flow that waits between its turns is repeated by its
+// sender, over and over.
 //
 // Invariants: a flow is in flows if and only if it is in exactly one of the
 // three lists; bytes is the sum of the contents of all datagrams.
--- a/internal/direct/load/book.go
+++ b/internal/direct/load/book.go
@@ -21,7 +21,7 @@
 // shardCount is the number of shards of a book; a power of two.
 const shardCount = 16
 
-// count has the open requests of one target.
+// count has the open requests of one target, without those whose data still comes.
 type count struct {
 	// own are those of this balancer, others those that other balancers told.
 	own, others int
--- a/internal/direct/requests/watcher.go
+++ b/internal/direct/requests/watcher.go
@@ -7,7 +7,8 @@
 // the flow before, or that hears nothing for long, was not answered.
 //
 // Watcher is safe for many goroutines: flows are kept in shards, each under its
-// own lock. Listeners learn of each beginning and of exactly one ending for it.
+// own lock. Listeners learn of each beginning and of exactly one ending for it, and
+// of long requests whether their data still comes.
 package requests
 
 import (
