--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -2,7 +2,9 @@
 //
 // It provides model.Role, *steer.Table, *feed.Subscriber, *feed.Publisher,
 // *renewal.Relay, *outcome.Tracker, *requests.Watcher, *load.Book, *load.Exchange,
-// *forwarder.Suspects and *forwarder.Forwarder, includes transport.Module, and needs a forwarder.Codec besides what the process base provides.
+// *transfer.Admission, *forwarder.Suspects and *forwarder.Forwarder, includes
+// transport.Module, and needs a forwarder.Codec besides what the process base
+// provides.
 package balancernode
 
 import (
@@ -170,8 +172,9 @@
 	return forwarder.NewSuspects(table, probe.New(probe.DialTCP), mailbox, subscriber.Following, logger.Named("targets"))
 }
 
-func provideForwarder(chosen settings.Settings, codec forwarder.Codec, table *steer.Table, suspects *forwarder.Suspects, watcher *requests.Watcher, admission *transfer.Admission,
-	observer *observer, registry *prometheus.Registry, logger *zap.Logger) (*forwarder.Forwarder, error) {
+func provideForwarder(chosen settings.Settings, codec forwarder.Codec, table *steer.Table, suspects *forwarder.Suspects,
+	watcher *requests.Watcher, admission *transfer.Admission, observer *observer,
+	registry *prometheus.Registry, logger *zap.Logger) (*forwarder.Forwarder, error) {
 	options := forwarder.Options{
 		Address:  chosen.Direct.Packets,
 		LinkRate: linkRate(chosen),
