--- a/internal/agent/limits_test.go
+++ b/internal/agent/limits_test.go
@@ -184,6 +184,18 @@
 	return stream, stream.Close()
 }
 
+// exchange sends a request and reads its answer. It returns the error with which the
+// peer ended the request, whether that came before, while or after it was sent.
+func exchange(t *testing.T, connection *quic.Conn) error {
+	stream, err := sendRequest(t, connection)
+	if stream == nil {
+		return err
+	}
+	require.NoError(t, stream.SetReadDeadline(time.Now().Add(waitLimit)))
+	_, err = io.ReadAll(stream)
+	return err
+}
+
 // A caller that does not keep to GOAWAY gets H3_REQUEST_REJECTED, which says
 // that the request did not run; the request before it runs to its end.
 func TestRequestAfterGoAwayIsRejected(t *testing.T) {
@@ -202,12 +214,8 @@
 	fleet.setPhase(1, model.PhaseDraining)
 	eventually(t, func() bool { return !fleet.agents[0].accepts.Load() })
 	eventually(t, func() bool {
-		stream, err := sendRequest(t, connection)
-		if stream != nil {
-			_, err = io.ReadAll(stream)
-		}
 		var reset *quic.StreamError
-		require.ErrorAs(t, err, &reset)
+		require.ErrorAs(t, exchange(t, connection), &reset)
 		return http3.ErrCode(reset.ErrorCode) == http3.ErrCodeRequestRejected
 	})
 	require.EqualValues(t, 1, requests.Load(), "a rejected request did not run")
@@ -240,9 +248,7 @@
 func answeredBeforeRejection(t *testing.T, connection *quic.Conn) int32 {
 	answered := int32(0)
 	eventually(t, func() bool {
-		stream := openRequest(t, connection)
-		require.NoError(t, stream.SetReadDeadline(time.Now().Add(waitLimit)))
-		_, err := io.ReadAll(stream)
+		err := exchange(t, connection)
 		if err == nil {
 			answered++
 			return false
