Empty a zone by order, and take it back

Cause: orders to evacuate a zone were answered 404, so that they were never acknowledged and targets of the zone went on getting new flows.

Balancers give no opening packet, copies included, to a target of such a zone; open flows, renewals and health go on. Capacity that load is compared with leaves such targets out. A service whose targets are all in such zones is refused at once by a current table, reason "evacuated"; an old table says nothing.

Orders have no version. Each is made on top of the latest order that a confirmed read tells when the call came; a proposal that reaches the log after an opposite one was acknowledged changes nothing, because every acknowledged order moves the base. A call whose time is over before its member came to it, or whose caller left, is not proposed. A zone that no target named yet is taken: its targets may register later.

Ruled out: versions by clock (clocks of members differ), a bound in time at the leader (the leader cannot tell when the call came).

Operators: merlinctl direct evacuate, restore and zones; admin interface, codes 8007 and 8008, a metric, the table's log line and explain name the order.

--- a/internal/direct/admin/admin_test.go
+++ b/internal/direct/admin/admin_test.go
@@ -21,6 +21,8 @@
 type holder struct {
 	held *declared.Configuration
 	err  error
+	// evacuated is the zone that is emptied, or empty.
+	evacuated string
 }
 
 func (holder *holder) Declare(_ context.Context, next *declared.Configuration) error {
@@ -37,6 +39,25 @@
 	return holder.held, holder.err
 }
 
+func (holder *holder) Evacuate(_ context.Context, zone string, end bool) error {
+	switch {
+	case holder.err != nil:
+		return holder.err
+	case end:
+		holder.evacuated = ""
+	default:
+		holder.evacuated = zone
+	}
+	return nil
+}
+
+func (holder *holder) Evacuations(context.Context) ([]directory.Evacuation, error) {
+	if holder.evacuated == "" || holder.err != nil {
+		return nil, holder.err
+	}
+	return []directory.Evacuation{{Zone: holder.evacuated, Since: 7}}, nil
+}
+
 func example(version uint64) *declared.Configuration {
 	return &declared.Configuration{
 		Version: version,
@@ -140,3 +161,19 @@
 	_, err = (&Client{}).Configuration(context.Background())
 	require.Equal(t, faults.CodeUsage, faults.CodeOf(err))
 }
+
+func TestZonesAreEmptiedAndTakenBack(t *testing.T) {
+	holder := &holder{held: example(7)}
+	client := &Client{Members: []string{serve(t, holder)}}
+	ctx := context.Background()
+	require.NoError(t, client.Evacuate(ctx, "a", false))
+	listed, err := client.Evacuations(ctx)
+	require.NoError(t, err)
+	require.Equal(t, []Evacuation{{Zone: "a", Since: 7, Targets: 1}}, listed)
+	require.NoError(t, client.Evacuate(ctx, "a", true))
+	listed, err = client.Evacuations(ctx)
+	require.NoError(t, err)
+	require.Empty(t, listed)
+	holder.err = faults.New(faults.QuorumUnconfirmed, "no leader")
+	require.Equal(t, faults.QuorumUnconfirmed, faults.CodeOf(client.Evacuate(ctx, "a", false)))
+}
--- a/internal/direct/admin/client.go
+++ b/internal/direct/admin/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"time"
 
 	"merlinpaddle/internal/faults"
@@ -37,6 +38,23 @@
 	return client.call(ctx, http.MethodPut, pathConfiguration, body, nil)
 }
 
+// Evacuate orders that a zone is emptied, or, with end, taken back into use. Sending
+// an order again is safe.
+func (client *Client) Evacuate(ctx context.Context, zone string, end bool) error {
+	method := http.MethodPost
+	if end {
+		method = http.MethodDelete
+	}
+	return client.call(ctx, method, pathEvacuations+"/"+url.PathEscape(zone), nil, nil)
+}
+
+// Evacuations returns the zones that are evacuated.
+func (client *Client) Evacuations(ctx context.Context) ([]Evacuation, error) {
+	var evacuations []Evacuation
+	err := client.call(ctx, http.MethodGet, pathEvacuations, nil, &evacuations)
+	return evacuations, err
+}
+
 // Targets returns the targets that a member holds.
 func (client *Client) Targets(ctx context.Context) ([]Target, error) {
 	var targets []Target
@@ -52,13 +70,18 @@
 	var last error
 	for _, member := range client.Members {
 		last = callOne(ctx, method, "http://"+member+path, body, into)
-		if last == nil || faults.CodeOf(last) == faults.ConfigurationInvalid || ctx.Err() != nil {
+		if last == nil || invalidEverywhere(last) || ctx.Err() != nil {
 			return last
 		}
 	}
 	return last
 }
 
+func invalidEverywhere(err error) bool {
+	code := faults.CodeOf(err)
+	return code == faults.ConfigurationInvalid || code == faults.ZoneOrderInvalid
+}
+
 func callOne(ctx context.Context, method, address string, body []byte, into any) error {
 	within, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/direct/admin/server.go
+++ b/internal/direct/admin/server.go
@@ -21,6 +21,7 @@
 const (
 	pathConfiguration = "/direct/configuration"
 	pathTargets       = "/direct/targets"
+	pathEvacuations   = "/direct/evacuations"
 )
 
 // maximumDocument bounds a document, in bytes.
@@ -33,6 +34,19 @@
 	Declare(ctx context.Context, next *declared.Configuration) error
 	// Configuration returns the newest declared configuration.
 	Configuration(ctx context.Context) (*declared.Configuration, error)
+	// Evacuate orders that a zone is emptied, or, with end, taken back into use.
+	Evacuate(ctx context.Context, zone string, end bool) error
+	// Evacuations returns the zones that are evacuated.
+	Evacuations(ctx context.Context) ([]directory.Evacuation, error)
+}
+
+// Evacuation is what operators see of a zone that is emptied by order.
+type Evacuation struct {
+	Zone string `json:"zone"`
+	// Since is the revision of the order.
+	Since uint64 `json:"since"`
+	// Targets is the number of ready targets in the zone, which get no new flows.
+	Targets int `json:"targets"`
 }
 
 // Target is what operators see of one incarnation of a target.
@@ -59,6 +73,9 @@
 	router.Get(pathConfiguration, server.getConfiguration)
 	router.Put(pathConfiguration, server.putConfiguration)
 	router.Get(pathTargets, server.getTargets)
+	router.Get(pathEvacuations, server.getEvacuations)
+	router.Post(pathEvacuations+"/{zone}", server.orderZone(false))
+	router.Delete(pathEvacuations+"/{zone}", server.orderZone(true))
 	return router
 }
 
@@ -112,6 +129,39 @@
 	server.answer(writer, targets)
 }
 
+func (server *server) getEvacuations(writer http.ResponseWriter, request *http.Request) {
+	held, err := server.declarations.Evacuations(request.Context())
+	if err != nil {
+		server.refuse(writer, err)
+		return
+	}
+	ready := make(map[string]int)
+	for _, target := range server.directory.Targets() {
+		if target.State == directory.TargetReady {
+			ready[target.Zone]++
+		}
+	}
+	evacuations := []Evacuation{}
+	for _, evacuation := range held {
+		evacuations = append(evacuations, Evacuation{
+			Zone: evacuation.Zone, Since: uint64(evacuation.Since), Targets: ready[evacuation.Zone],
+		})
+	}
+	server.answer(writer, evacuations)
+}
+
+// orderZone serves the order to empty the zone of the path, or to take it back.
+func (server *server) orderZone(end bool) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		err := server.declarations.Evacuate(request.Context(), chi.URLParam(request, "zone"), end)
+		if err != nil {
+			server.refuse(writer, err)
+			return
+		}
+		server.answer(writer, struct{}{})
+	}
+}
+
 func (server *server) answer(writer http.ResponseWriter, value any) {
 	writer.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(writer).Encode(value); err != nil {
@@ -124,7 +174,7 @@
 func (server *server) refuse(writer http.ResponseWriter, err error) {
 	code := faults.CodeOf(err)
 	status := http.StatusServiceUnavailable
-	if code == faults.ConfigurationInvalid {
+	if code == faults.ConfigurationInvalid || code == faults.ZoneOrderInvalid {
 		status = http.StatusBadRequest
 	}
 	server.logger.Info("operator's call refused", zap.Int("code", int(code)), zap.Int("status", status), zap.Error(err))
--- a/internal/direct/balancernode/metrics.go
+++ b/internal/direct/balancernode/metrics.go
@@ -32,6 +32,7 @@
 	revision   *prometheus.Desc
 	version    *prometheus.Desc
 	confirmed  *prometheus.Desc
+	evacuated  *prometheus.Desc
 }
 
 // ageBuckets and waitBuckets are bounds in seconds: from a member's last word to
@@ -65,6 +66,8 @@
 			"The declared version of this balancer's table.", nil, nil),
 		confirmed: prometheus.NewDesc("merlinpaddle_direct_table_confirmed",
 			"1 while a current member confirmed the table lately, else 0.", nil, nil),
+		evacuated: prometheus.NewDesc("merlinpaddle_direct_evacuated_zones",
+			"Zones whose targets get no new flows from this balancer, by order of an operator.", nil, nil),
 		decisions: make([]atomic.Uint64, len(steer.Reasons())),
 		packets: prometheus.NewDesc("merlinpaddle_direct_packets_total",
 			"Packets of callers, by the reason of the decision.", []string{"reason"}, nil),
@@ -95,6 +98,7 @@
 	descriptions <- metrics.revision
 	descriptions <- metrics.version
 	descriptions <- metrics.confirmed
+	descriptions <- metrics.evacuated
 }
 
 // Collect implements prometheus.Collector.
@@ -109,6 +113,7 @@
 	collected <- prometheus.MustNewConstMetric(metrics.revision, prometheus.GaugeValue, float64(metrics.table.Revision()))
 	collected <- prometheus.MustNewConstMetric(metrics.version, prometheus.GaugeValue, float64(metrics.table.Version()))
 	collected <- prometheus.MustNewConstMetric(metrics.confirmed, prometheus.GaugeValue, confirmed)
+	collected <- prometheus.MustNewConstMetric(metrics.evacuated, prometheus.GaugeValue, float64(metrics.table.Evacuated()))
 	malformed := float64(metrics.malformed.Load())
 	collected <- prometheus.MustNewConstMetric(metrics.malformedAs, prometheus.CounterValue, malformed)
 }
--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -123,6 +123,7 @@
 			zap.Int("targets", len(changes.Targets)),
 			zap.Int("routes", len(changes.Routes)),
 			zap.Int("removed", len(changes.Removed)),
+			zap.Int("evacuated_zones", table.Evacuated()),
 			zap.String("from", string(from)))
 	})
 }
--- a/internal/direct/balancernode/observer.go
+++ b/internal/direct/balancernode/observer.go
@@ -55,6 +55,7 @@
 		zap.Uint32("suspect", uint32(decision.Suspect)),
 		zap.Int("open", decision.Open),
 		zap.Duration("expected", decision.Expected),
+		zap.Uint64("evacuated_since", uint64(decision.EvacuatedSince)),
 		zap.Uint64("revision", uint64(decision.Revision)),
 		zap.Uint64("version", decision.Version),
 		zap.String("confirmed_ago", ageText(decision.ConfirmedAgo)),
--- a/internal/direct/directory/apply.go
+++ b/internal/direct/directory/apply.go
@@ -45,6 +45,8 @@
 		directory.changeHealth(command.Health)
 	case command.Forget != nil:
 		directory.forget(command.Forget.IDs)
+	case command.Evacuate != nil:
+		return directory.evacuations.order(command.Evacuate, directory.revision)
 	}
 	return Result{}
 }
--- a/internal/direct/directory/capacity.go
+++ b/internal/direct/directory/capacity.go
@@ -8,7 +8,8 @@
 	directory *Directory
 	revision  model.Revision
 	services  map[Token]string
-	// capacities has the capacity of all ready targets together, by service.
+	// capacities has the capacity together of all ready targets outside evacuated
+	// zones, by service.
 	capacities map[string]int
 }
 
@@ -18,7 +19,7 @@
 }
 
 // ServiceCapacity returns the service of the target with the token, and the
-// capacity of all its ready targets together; the empty name and zero when there is
+// capacity together of its ready targets outside evacuated zones; the empty name and zero when there is
 // no such target.
 func (index *CapacityIndex) ServiceCapacity(token Token) (service string, capacity int) {
 	index.refresh()
@@ -34,9 +35,14 @@
 	index.revision = revision
 	index.services = make(map[Token]string)
 	index.capacities = make(map[string]int)
+	evacuated, _ := index.directory.Evacuations()
+	empty := make(map[string]bool, len(evacuated))
+	for _, evacuation := range evacuated {
+		empty[evacuation.Zone] = true
+	}
 	for _, target := range index.directory.Targets() {
 		index.services[target.Token] = target.Service
-		if target.State == TargetReady {
+		if target.State == TargetReady && !empty[target.Zone] {
 			index.capacities[target.Service] += target.Capacity
 		}
 	}
--- a/internal/direct/directory/changes.go
+++ b/internal/direct/directory/changes.go
@@ -46,6 +46,14 @@
 	Removed     []netip.AddrPort
 	Targets     []TargetEntry
 	Forgotten   []Token
+	// Zones replaces what the reader knows of zones; nil when that is unchanged.
+	Zones *Zones
+}
+
+// Zones is what balancers need of zones. It is small, and always told as a whole.
+type Zones struct {
+	// Evacuated are the zones whose targets get no new flows, sorted.
+	Evacuated []Evacuation
 }
 
 // ChangesSince returns what changed after the revision from. A reader that is
@@ -71,6 +79,9 @@
 		directory.collectRoutes(&changes, from)
 	}
 	changes.Targets = directory.targets.changedSince(from)
+	if directory.evacuations.changedAt > from || changes.Whole {
+		changes.Zones = &Zones{Evacuated: directory.evacuations.list()}
+	}
 	if !changes.Whole {
 		directory.collectRemovals(&changes, from)
 	}
--- a/internal/direct/directory/combine.go
+++ b/internal/direct/directory/combine.go
@@ -38,6 +38,7 @@
 	removed   map[netip.AddrPort]bool
 	targets   map[Token]TargetEntry
 	forgotten map[Token]bool
+	zones     *Zones
 }
 
 // add takes a part in. Within a part, removals come before additions.
@@ -54,6 +55,9 @@
 		delete(combined.targets, token)
 		combined.forgotten[token] = true
 	}
+	if part.Zones != nil {
+		combined.zones = part.Zones
+	}
 	for _, entry := range part.Targets {
 		combined.targets[entry.Token] = entry
 	}
@@ -61,6 +65,7 @@
 
 // changes adds what was combined to head, in a fixed order.
 func (combined *combination) changes(head Changes) Changes {
+	head.Zones = combined.zones
 	for _, entry := range combined.routes {
 		head.Routes = append(head.Routes, entry)
 	}
@@ -85,5 +90,9 @@
 
 // Size is the number of entries.
 func (changes *Changes) Size() int {
-	return len(changes.Routes) + len(changes.Removed) + len(changes.Targets) + len(changes.Forgotten)
+	size := len(changes.Routes) + len(changes.Removed) + len(changes.Targets) + len(changes.Forgotten)
+	if changes.Zones != nil {
+		size += len(changes.Zones.Evacuated)
+	}
+	return size
 }
--- a/internal/direct/directory/command.go
+++ b/internal/direct/directory/command.go
@@ -15,6 +15,7 @@
 	Leave    *Departure
 	Health   *HealthChange
 	Forget   *Forgetting
+	Evacuate *EvacuationOrder
 }
 
 // Registration adds a target or changes its state. A registration whose
@@ -49,8 +50,11 @@
 // Result is the outcome of a command.
 type Result struct {
 	// Conflict tells that a declaration was made against another version
-	// than the one held; nothing changed and it is to be made again.
+	// than the one held, or an order for a zone against another base; nothing
+	// changed and it is to be made again.
 	Conflict bool
+	// Full tells that as many zones are evacuated as may be; nothing changed.
+	Full bool
 	// Version is the declared version that is held now.
 	Version uint64
 	// Token is the registered target's.
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -1,6 +1,6 @@
 // Package directory is the replicated state of direct services: the declared
-// configuration and the targets that register by themselves, each with the
-// token that flows carry.
+// configuration, the targets that register by themselves, each with the
+// token that flows carry, and the zones that operators emptied.
 //
 // It is a pure state machine for the control group's log (replica.StateMachine)
 // and, for readers, a store of objects with the revision of their last change.
@@ -8,7 +8,9 @@
 // Invariants:
 //   - the declared version never goes back;
 //   - a token names one incarnation of one target for ever;
-//   - a target that drains never takes new flows again.
+//   - a target that drains never takes new flows again;
+//   - an order for a zone changes nothing if another order was applied since its
+//     member looked.
 package directory
 
 import (
@@ -108,6 +110,8 @@
 	// forgotten are tokens of targets that were taken out.
 	forgotten []forgottenTarget
 	nextToken Token
+	// evacuations are the zones that operators emptied.
+	evacuations evacuations
 }
 
 // forgottenTarget tells that a target was taken out of the directory.
@@ -134,6 +138,7 @@
 	directory.targets = newTargetIndex()
 	directory.forgotten = nil
 	directory.nextToken = 1
+	directory.evacuations = newEvacuations()
 }
 
 // Revision returns the revision of the latest applied command.
--- a/internal/direct/directory/snapshot.go
+++ b/internal/direct/directory/snapshot.go
@@ -17,6 +17,10 @@
 	ConfigurationAt model.Revision
 	Targets         []Target
 	NextToken       Token
+	// Evacuations and EvacuationsAt are missing in snapshots of earlier programs,
+	// which knew of none.
+	Evacuations   []Evacuation
+	EvacuationsAt model.Revision
 }
 
 // Snapshot implements replica.StateMachine.
@@ -33,6 +37,8 @@
 		ConfigurationAt: directory.configurationAt,
 		Targets:         make([]Target, 0, len(directory.targets.ordered)),
 		NextToken:       directory.nextToken,
+		Evacuations:     directory.evacuations.list(),
+		EvacuationsAt:   directory.evacuations.changedAt,
 	}
 	for _, target := range directory.targets.ordered {
 		saved.Targets = append(saved.Targets, *target)
@@ -62,6 +68,7 @@
 		directory.routes[route.Address] = routeRecord{route: route, revision: saved.ConfigurationAt}
 	}
 	directory.targets.restore(saved.Targets)
+	directory.evacuations.restore(saved.Evacuations, saved.EvacuationsAt)
 	return nil
 }
 
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -167,7 +167,7 @@
 		segment.Tried, segment.Seen = forwarder.requests.Tried(segment)
 	}
 	decision := forwarder.admission.Review(segment, forwarder.table.Decide(segment, now))
-	if worthParking(decision.Reason) {
+	if decision.Action == steer.Drop && worthParking(decision.Reason) {
 		forwarder.parking.put(packet, segment, now)
 	}
 	forwarder.carryOut(buffer, headroom, segment, decision, now)
--- a/internal/direct/forwarder/parking.go
+++ b/internal/direct/forwarder/parking.go
@@ -44,7 +44,7 @@
 // worthParking tells whether a changed table may place the packet.
 func worthParking(reason steer.Reason) bool {
 	switch reason {
-	case steer.ReasonNoTable, steer.ReasonUnknownToken, steer.ReasonNoRouteStale, steer.ReasonNoTarget:
+	case steer.ReasonNoTable, steer.ReasonUnknownToken, steer.ReasonNoRouteStale, steer.ReasonNoTarget, steer.ReasonEvacuated:
 		return true
 	default:
 		return false
--- a/internal/direct/registrar/calls.go
+++ b/internal/direct/registrar/calls.go
@@ -48,6 +48,26 @@
 	})
 }
 
+// Evacuate orders that a zone is emptied, or, with end, taken back into use.
+func (calls *Calls) Evacuate(ctx context.Context, zone string, end bool) error {
+	return calls.wait(ctx, func(now, deadline time.Time, done func(error)) {
+		order := ZoneOrder{Zone: zone, End: end, Wanted: func() bool { return ctx.Err() == nil }}
+		calls.registrar.Evacuate(now, order, deadline, done)
+	})
+}
+
+// Evacuations returns the zones that are evacuated, confirmed by a quorum.
+func (calls *Calls) Evacuations(ctx context.Context) ([]directory.Evacuation, error) {
+	err := calls.wait(ctx, func(now, deadline time.Time, done func(error)) {
+		calls.registrar.Configuration(now, deadline, func(_ *declared.Configuration, err error) { done(err) })
+	})
+	if err != nil {
+		return nil, err
+	}
+	held, _ := calls.registrar.directory.Evacuations()
+	return held, nil
+}
+
 // Configuration returns the newest declared configuration.
 func (calls *Calls) Configuration(ctx context.Context) (*declared.Configuration, error) {
 	var held *declared.Configuration
--- a/internal/direct/registrar/proposer.go
+++ b/internal/direct/registrar/proposer.go
@@ -194,8 +194,18 @@
 	proposer.mailbox.Send(to, reply)
 }
 
+// errNotTried is the error of a call whose time was over before this member, which
+// stood still meanwhile, came to it. Its caller has gone elsewhere, so that it must
+// not take effect any more.
+var errNotTried = faults.New(faults.QuorumUnconfirmed, "the time of the call was over before it was tried; nothing was proposed")
+
 // try begins one attempt of a call, at this member or at the leader.
 func (proposer *Proposer) try(now time.Time, begun *call) {
+	if !now.Before(begun.deadline) {
+		proposer.observe(Ended{Read: begun.command == nil, Took: now.Sub(begun.begunAt), Err: errNotTried})
+		begun.done(Reply{}, errNotTried)
+		return
+	}
 	proposer.last++
 	begun.attempt = proposer.last
 	begun.retryAt = time.Time{}
--- a/internal/direct/steer/apply.go
+++ b/internal/direct/steer/apply.go
@@ -20,6 +20,7 @@
 			table.targets[token] = known
 		}
 	}
+	table.mergeZones(changes.Zones)
 	table.mergeRoutes(changes.Routes)
 	table.mergeTargets(changes.Targets, now, first)
 }
@@ -40,10 +41,22 @@
 	for _, token := range changes.Forgotten {
 		delete(table.targets, token)
 	}
+	table.mergeZones(changes.Zones)
 	table.mergeRoutes(changes.Routes)
 	table.mergeTargets(changes.Targets, now, false)
 }
 
+// mergeZones takes in which zones are evacuated; nil changes nothing.
+func (table *Table) mergeZones(zones *directory.Zones) {
+	if zones == nil {
+		return
+	}
+	table.evacuated = make(map[string]directory.Evacuation, len(zones.Evacuated))
+	for _, evacuation := range zones.Evacuated {
+		table.evacuated[evacuation.Zone] = evacuation
+	}
+}
+
 func (table *Table) mergeRoutes(entries []directory.RouteEntry) {
 	for _, entry := range entries {
 		added := route{parts: entry.Pool, objective: entry.Objective, priority: entry.Priority}
@@ -74,6 +87,9 @@
 	}
 }
 
+// rebuildServices collects the targets that may take new flows. Those of evacuated
+// zones count for nothing, neither for the choice nor for the capacity that load is
+// compared with; their services keep what they learned.
 func (table *Table) rebuildServices() {
 	services := make(map[string]*service)
 	for _, target := range table.targets {
@@ -85,6 +101,10 @@
 			built = newService(table.services[target.Service])
 			services[target.Service] = built
 		}
+		if _, evacuated := table.evacuated[target.Zone]; evacuated {
+			built.evacuatedSince = max(built.evacuatedSince, table.evacuated[target.Zone].Since)
+			continue
+		}
 		built.targets = append(built.targets, target)
 		built.capacity += target.Capacity
 	}
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -93,6 +93,9 @@
 	if service == nil {
 		return Decision{Reason: ReasonNoTarget}
 	}
+	if len(service.targets) == 0 {
+		return table.refuseEvacuated(segment, service, now)
+	}
 	var choices choices
 	service.rank(hash, now, table.options, &choices)
 	choices.leastBusyFirst(table.options)
@@ -114,6 +117,19 @@
 	return decision
 }
 
+// refuseEvacuated answers an opening packet whose service has targets in emptied
+// zones alone. The order stands until an operator ends it, so that waiting does not
+// help the caller. A balancer whose table may be old says nothing, because the order
+// may have ended; and a copy of a packet that was sent on is not refused, because
+// the flow may have opened before the order.
+func (table *Table) refuseEvacuated(segment Segment, service *service, now time.Time) Decision {
+	decision := Decision{Reason: ReasonEvacuated, EvacuatedSince: service.evacuatedSince}
+	if table.fresh(now) && !segment.Seen {
+		decision.Action = Reset
+	}
+	return decision
+}
+
 func (table *Table) loadOf(target *record) (open int, serving time.Duration) {
 	if table.options.Loads == nil {
 		return 0, 0
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -96,12 +96,16 @@
 	// ReasonLinkFull: the balancer's own link would carry the flow's request later
 	// than the route's objective allows.
 	ReasonLinkFull
+	// ReasonEvacuated: all targets of the pool's part are in zones that operators
+	// emptied.
+	ReasonEvacuated
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"chosen", "owner", "no_table", "no_route", "no_route_stale", "no_target",
 	"unknown_token", "target_failed", "missing_token", "overloaded", "link_full",
+	"evacuated",
 }
 
 // String returns the reason's stable name.
@@ -144,6 +148,9 @@
 	// Objective is the objective of the flow's route, zero for none; set with
 	// ReasonChosen.
 	Objective time.Duration
+	// EvacuatedSince is the revision of the latest order that emptied a zone of the
+	// service; set with ReasonEvacuated.
+	EvacuatedSince model.Revision
 	// Revision, Version and ConfirmedAgo tell the table that decided: its
 	// revision, its declared version, and how long ago a member confirmed it.
 	// They are not set for packets that reach their owner.
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -39,6 +39,9 @@
 // service has the targets of a service that may take new flows.
 type service struct {
 	targets []*record
+	// evacuatedSince is the revision of the latest order that emptied a zone in which
+	// the service has targets; zero without one.
+	evacuatedSince model.Revision
 	// capacity is the sum of the targets' capacities.
 	capacity   int
 	congestion *congestion
@@ -68,7 +71,9 @@
 	routes       map[netip.AddrPort]route
 	targets      map[directory.Token]*record
 	services     map[string]*service
-	changes      board.Notifier
+	// evacuated are the zones whose targets get no new flows, by name.
+	evacuated map[string]directory.Evacuation
+	changes   board.Notifier
 	// confirmations gives notice that confirmedAt moved.
 	confirmations board.Notifier
 }
@@ -173,7 +178,7 @@
 func (table *Table) Everything() directory.Changes {
 	table.lock.RLock()
 	defer table.lock.RUnlock()
-	whole := directory.Changes{Whole: true, To: table.revision, Version: table.version, IdleTimeout: table.idleTimeout}
+	whole := directory.Changes{Whole: true, To: table.revision, Version: table.version, IdleTimeout: table.idleTimeout, Zones: table.zones()}
 	for address, route := range table.routes {
 		whole.Routes = append(whole.Routes, directory.RouteEntry{
 			Address: address, Pool: route.parts, Objective: route.objective, Priority: route.priority,
@@ -187,8 +192,25 @@
 	return whole
 }
 
+// zones returns what the table knows of zones.
+func (table *Table) zones() *directory.Zones {
+	zones := &directory.Zones{}
+	for _, evacuation := range table.evacuated {
+		zones.Evacuated = append(zones.Evacuated, evacuation)
+	}
+	slices.SortFunc(zones.Evacuated, func(left, right directory.Evacuation) int { return cmp.Compare(left.Zone, right.Zone) })
+	return zones
+}
+
+// Evacuated returns the number of zones whose targets get no new flows.
+func (table *Table) Evacuated() int {
+	table.lock.RLock()
+	defer table.lock.RUnlock()
+	return len(table.evacuated)
+}
+
 // ServiceCapacity returns the service of the target with the token, and the
-// capacity of all its ready targets together.
+// capacity together of its ready targets outside evacuated zones.
 func (table *Table) ServiceCapacity(token directory.Token) (service string, capacity int) {
 	table.lock.RLock()
 	defer table.lock.RUnlock()
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -14,6 +14,9 @@
 	case last.Message == messageReset && last.Reason == "overloaded":
 		return fmt.Sprintf("The flow was refused before it opened: half of the new flows of its service were expected to miss their objective, and the least busy one, "+
 			"target %x, had %d open requests, so an answer was expected after %s only.", last.Target, last.Open, last.Expected)
+	case last.Message == messageReset && last.Reason == "evacuated":
+		return fmt.Sprintf("The flow was refused at once: all targets of its service are in zones that operators emptied, the latest by the order at revision %d. "+
+			"It stays so until a zone is taken back, or targets register elsewhere.", last.EvacuatedSince)
 	case last.Message == messageReset && last.Reason == "link_full":
 		return fmt.Sprintf("The flow was refused before it opened: long requests filled the balancer's own link, which would have carried its request after %s only. "+
 			"The caller's next try goes to another balancer.", last.Expected)
@@ -43,6 +46,8 @@
 		return "The balancer had just started and had no table yet."
 	case "unknown_token":
 		return "The balancer did not know the flow's token: it was behind, or the target was forgotten long ago."
+	case "evacuated":
+		return "All targets of the service are in zones that operators emptied, and the balancer's table was not confirmed lately, so it said nothing."
 	case "no_target":
 		return "No target of the pool took new flows."
 	case "no_route_stale":
--- a/internal/explain/lines.go
+++ b/internal/explain/lines.go
@@ -30,8 +30,10 @@
 	// Expected how long a further one would take there.
 	Open     int    `json:"open"`
 	Expected string `json:"expected"`
-	Revision uint64 `json:"revision"`
-	Version  uint64 `json:"version"`
+	// EvacuatedSince is the revision of the order that emptied a zone.
+	EvacuatedSince uint64 `json:"evacuated_since"`
+	Revision       uint64 `json:"revision"`
+	Version        uint64 `json:"version"`
 	// ConfirmedAgo is how old the balancer's table may have been.
 	ConfirmedAgo string `json:"confirmed_ago"`
 
--- a/internal/faults/codes_direct.go
+++ b/internal/faults/codes_direct.go
@@ -17,6 +17,10 @@
 	SegmentMalformed Code = 8005
 	// LogUnreadable: a log file cannot be read.
 	LogUnreadable Code = 8006
+	// ZoneOrderInvalid: an order for a zone names none.
+	ZoneOrderInvalid Code = 8007
+	// ZoneOrdersFull: as many zones are evacuated as may be.
+	ZoneOrdersFull Code = 8008
 )
 
 var directDefinitions = []Definition{
@@ -26,4 +30,6 @@
 	{Code: ForwardTimeout, Name: "ForwardTimeout", Meaning: "The leader did not answer in time; whether the change is committed is not known here.", Action: "Send the same request again; it is applied at most once.", HTTPStatus: http.StatusServiceUnavailable, Ran: RanUnknown},
 	{Code: SegmentMalformed, Name: "SegmentMalformed", Meaning: "A caller's packet is cut short or its lengths disagree.", Action: "None; it was dropped and counted."},
 	{Code: LogUnreadable, Name: "LogUnreadable", Meaning: "A log file cannot be read.", Action: "Name files that hold the structured lines of the processes."},
+	{Code: ZoneOrderInvalid, Name: "ZoneOrderInvalid", Meaning: "An order to empty a zone, or to take it back, names no zone or one whose name is too long.", Action: "Name the zone as targets state it.", HTTPStatus: http.StatusUnprocessableEntity, Ran: RanNo},
+	{Code: ZoneOrdersFull, Name: "ZoneOrdersFull", Meaning: "As many zones are evacuated as may be at a time; nothing was changed.", Action: "List the evacuated zones and end those that are not meant.", HTTPStatus: http.StatusServiceUnavailable, Ran: RanNo},
 }
--- a/internal/merlinctl/direct.go
+++ b/internal/merlinctl/direct.go
@@ -49,6 +49,9 @@
 		&cobra.Command{Use: "get", Short: "Print the declared configuration as YAML", Args: cobra.NoArgs, RunE: direct.run(direct.get)},
 		&cobra.Command{Use: "diff FILE", Short: "Print what FILE would change", Args: cobra.ExactArgs(1), RunE: direct.run(direct.diff)},
 		apply,
+		&cobra.Command{Use: "zones", Short: "List the zones that are emptied by order", Args: cobra.NoArgs, RunE: direct.run(direct.zones)},
+		&cobra.Command{Use: "evacuate ZONE", Short: "Send no new flows to the targets of ZONE; open flows go on", Args: cobra.ExactArgs(1), RunE: direct.run(direct.evacuate)},
+		&cobra.Command{Use: "restore ZONE", Short: "Take ZONE back into use", Args: cobra.ExactArgs(1), RunE: direct.run(direct.restore)},
 		&cobra.Command{Use: "targets", Short: "List the targets that a member holds", Args: cobra.NoArgs, RunE: direct.run(direct.targets)},
 	)
 	return command
@@ -156,6 +159,34 @@
 	return printer.flush()
 }
 
+func (direct *directTool) zones(ctx context.Context, client *admin.Client, _ []string) error {
+	evacuations, err := client.Evacuations(ctx)
+	if err != nil {
+		return err
+	}
+	printer := newPrinter(direct.tool.output, "ZONE", "EMPTIED SINCE", "READY TARGETS")
+	for _, evacuation := range evacuations {
+		printer.row(evacuation.Zone, "revision "+strconv.FormatUint(evacuation.Since, 10), strconv.Itoa(evacuation.Targets))
+	}
+	return printer.flush()
+}
+
+func (direct *directTool) evacuate(ctx context.Context, client *admin.Client, arguments []string) error {
+	if err := client.Evacuate(ctx, arguments[0], false); err != nil {
+		return err
+	}
+	fmt.Fprintf(direct.tool.output, "zone %s is emptied: its targets get no new flows\n", arguments[0])
+	return nil
+}
+
+func (direct *directTool) restore(ctx context.Context, client *admin.Client, arguments []string) error {
+	if err := client.Evacuate(ctx, arguments[0], true); err != nil {
+		return err
+	}
+	fmt.Fprintf(direct.tool.output, "zone %s is in use again\n", arguments[0])
+	return nil
+}
+
 // read reads a document from a file, or from standard input by "-".
 func (direct *directTool) read(path string) (admin.Document, error) {
 	var reader io.Reader = direct.tool.input
--- a/internal/merlinctl/direct_test.go
+++ b/internal/merlinctl/direct_test.go
@@ -22,6 +22,8 @@
 type declarations struct {
 	held *declared.Configuration
 	err  error
+	// evacuated is the zone that is emptied, or empty.
+	evacuated string
 }
 
 // Declare implements admin.Declarations.
@@ -40,6 +42,23 @@
 	return declarations.held, declarations.err
 }
 
+// Evacuate implements admin.Declarations.
+func (declarations *declarations) Evacuate(_ context.Context, zone string, end bool) error {
+	if end {
+		zone = ""
+	}
+	declarations.evacuated = zone
+	return declarations.err
+}
+
+// Evacuations implements admin.Declarations.
+func (declarations *declarations) Evacuations(context.Context) ([]directory.Evacuation, error) {
+	if declarations.evacuated == "" {
+		return nil, declarations.err
+	}
+	return []directory.Evacuation{{Zone: declarations.evacuated, Since: 12}}, declarations.err
+}
+
 const directFirst = `
 version: 7
 services:
@@ -97,6 +116,23 @@
 	require.Contains(t, targets.output, "SERVICE")
 }
 
+func TestDirectEmptiesZones(t *testing.T) {
+	member := &declarations{held: &declared.Configuration{}}
+	ran := runDirect(t, member, "", "evacuate", "zone-a")
+	require.Equal(t, ExitSuccess, ran.code, ran.errors)
+	require.Equal(t, "zone-a", member.evacuated)
+	ran = runDirect(t, member, "", "zones")
+	require.Equal(t, ExitSuccess, ran.code, ran.errors)
+	require.Contains(t, ran.output, "zone-a")
+	require.Contains(t, ran.output, "revision 12")
+	ran = runDirect(t, member, "", "restore", "zone-a")
+	require.Equal(t, ExitSuccess, ran.code, ran.errors)
+	require.Empty(t, member.evacuated)
+	require.Equal(t, ExitUsage, runDirect(t, member, "", "evacuate").code, "a zone must be named")
+	member.err = faults.New(faults.QuorumUnconfirmed, "cut")
+	require.Equal(t, ExitUnavailable, runDirect(t, member, "", "evacuate", "zone-a").code)
+}
+
 func TestDirectNamesWhatIsWrong(t *testing.T) {
 	cases := []struct {
 		name, input string
