Keep cold targets within the rate that their service states

Cause: a target's coldness counted only when a balancer first saw it, with half the weight, and never for entries of a first table nor when a renewal said later that it turned cold. Where a service states how many new flows a second a cold target bears, chance alone brought more (12 in a second where 11 were allowed).

Change: the rate and the time of a service are declared, kept, given back and told to balancers. Where a rate is stated, a renewal that changes coldness in either direction is committed, so that all balancers learn it; elsewhere renewals cost no commit, as before. Targets of a zone that is taken back count as cold until they say twice that they are warm, because the first renewal may be from before. A cold target gets no new flows from balancers but the one that holds it: a balancer named once in the life of an incarnation by the replicated log, so that two balancers whose tables differ never both hold it. The holder gives what the target bears in a second, over 1.2 s, and only when no warm target can take the flow; the rest is refused at once, reason "cold". A holder that just started gives nothing until its former life's flows are out of the window.

Why the sum is safe: what a balancer that knows of the coldness sends is zero, or within the holder's window; overage and slack are left for those that do not know yet.

Ruled out: shares of the rate for every balancer (at 88 balancers an eighth of a flow a second each), grants by members that end by themselves (a second protocol for what the log already decides).

--- a/internal/direct/admin/admin_test.go
+++ b/internal/direct/admin/admin_test.go
@@ -66,8 +66,9 @@
 			Timeout: 1500 * time.Millisecond, Objective: 120 * time.Millisecond, Priority: 2, Attempts: 3, Weighted: true,
 			Pool: []declared.PoolPart{{Service: "feed", Weight: 90}, {Service: "ledger", Weight: 10}},
 		}},
-		Services: []declared.Service{{Name: "feed", HealthPath: "/health", MaxConnections: 2000, Protocol: "h1"}, {Name: "ledger", TLS: true}},
-		Limits:   declared.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 262144, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Services: []declared.Service{{Name: "feed", HealthPath: "/health", MaxConnections: 2000, Protocol: "h1",
+			Cold: declared.ColdLimit{Stated: true, Start: 2 * time.Second, PerSecond: 4}}, {Name: "ledger", TLS: true}},
+		Limits: declared.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 262144, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
 }
 
--- a/internal/direct/admin/document.go
+++ b/internal/direct/admin/document.go
@@ -28,6 +28,17 @@
 	MaxConnections int    `json:"max_connections,omitempty" yaml:"max_connections,omitempty"`
 	Protocol       string `json:"protocol,omitempty" yaml:"protocol,omitempty"`
 	TLS            bool   `json:"tls,omitempty" yaml:"tls,omitempty"`
+	// Cold is what targets bear shortly after their start; nothing for no bound.
+	Cold *ColdLimit `json:"cold,omitempty" yaml:"cold,omitempty"`
+}
+
+// ColdLimit is what a target bears while it is cold.
+type ColdLimit struct {
+	// Start is how long a target stays cold after its start.
+	Start string `json:"start,omitempty" yaml:"start,omitempty"`
+	// PerSecond is the number of new flows a second that it bears meanwhile; zero for
+	// no bound.
+	PerSecond float64 `json:"per_second,omitempty" yaml:"per_second,omitempty"`
 }
 
 // Route gives the flows of an address to a pool of services.
@@ -69,7 +80,7 @@
 		},
 	}
 	for _, service := range held.Services {
-		document.Services = append(document.Services, Service(service))
+		document.Services = append(document.Services, serviceOf(service))
 	}
 	for index := range held.Routes {
 		document.Routes = append(document.Routes, routeOf(&held.Routes[index]))
@@ -77,6 +88,16 @@
 	return document
 }
 
+func serviceOf(held declared.Service) Service {
+	service := Service{
+		Name: held.Name, HealthPath: held.HealthPath, MaxConnections: held.MaxConnections, Protocol: held.Protocol, TLS: held.TLS,
+	}
+	if held.Cold.Stated {
+		service.Cold = &ColdLimit{Start: textOf(held.Cold.Start), PerSecond: held.Cold.PerSecond}
+	}
+	return service
+}
+
 func routeOf(held *declared.Route) Route {
 	route := Route{
 		Name:      held.Name,
@@ -105,8 +126,12 @@
 // the field that cannot be read. Whether the whole is valid, Validate tells.
 func (document *Document) Configuration() (*declared.Configuration, error) {
 	stated := &declared.Configuration{Version: document.Version}
-	for _, service := range document.Services {
-		stated.Services = append(stated.Services, declared.Service(service))
+	for index := range document.Services {
+		service, err := document.Services[index].service(fmt.Sprintf("services[%d]", index))
+		if err != nil {
+			return nil, err
+		}
+		stated.Services = append(stated.Services, service)
 	}
 	for index := range document.Routes {
 		route, err := document.Routes[index].route(fmt.Sprintf("routes[%d]", index))
@@ -132,6 +157,22 @@
 	return stated, nil
 }
 
+func (service *Service) service(field string) (declared.Service, error) {
+	stated := declared.Service{
+		Name: service.Name, HealthPath: service.HealthPath, MaxConnections: service.MaxConnections,
+		Protocol: service.Protocol, TLS: service.TLS,
+	}
+	if service.Cold == nil {
+		return stated, nil
+	}
+	start, err := durationOf(field+".cold.start", service.Cold.Start)
+	if err != nil {
+		return declared.Service{}, err
+	}
+	stated.Cold = declared.ColdLimit{Stated: true, Start: start, PerSecond: service.Cold.PerSecond}
+	return stated, nil
+}
+
 func (route *Route) route(field string) (declared.Route, error) {
 	address, err := netip.ParseAddrPort(route.Address)
 	if err != nil {
--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -70,6 +70,7 @@
 
 func newTable(chosen settings.Settings, book *load.Book) *steer.Table {
 	options := steer.DefaultOptions()
+	options.Self = model.NodeName(chosen.Node)
 	options.Zone = chosen.Zone
 	options.Candidates = chosen.Direct.LoadCandidates
 	options.AdmitShare = chosen.Direct.LoadAdmission
--- a/internal/direct/declared/declared.go
+++ b/internal/direct/declared/declared.go
@@ -9,6 +9,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 
@@ -80,8 +81,26 @@
 	// packets and does not look inside.
 	Protocol string
 	TLS      bool
+	// Cold is what the service's targets bear shortly after their start.
+	Cold ColdLimit
 }
 
+// ColdLimit is what a target bears while it is cold: for some time after its start
+// it is slow, because its caches and pools are empty.
+type ColdLimit struct {
+	// Stated tells that the operator stated the fields below. What was not stated
+	// is not shown either.
+	Stated bool
+	// Start is how long a target stays cold.
+	Start time.Duration
+	// PerSecond is the number of new flows a second that it bears meanwhile. Zero
+	// sets no bound.
+	PerSecond float64
+}
+
+// Bounded tells whether new flows of cold targets are bounded.
+func (limit ColdLimit) Bounded() bool { return limit.PerSecond > 0 }
+
 // Limits are bounds that hold for all routes.
 type Limits struct {
 	MaxHeaderBytes int
@@ -113,11 +132,25 @@
 		if services[service.Name] {
 			return invalid("services[%d].name: %q is declared twice", index, service.Name)
 		}
+		if err := service.Cold.validate(); err != nil {
+			return invalid("services[%d].%v", index, err)
+		}
 		services[service.Name] = true
 	}
 	return configuration.validateRoutes(services)
 }
 
+// validate returns an error that names the first field that is wrong.
+func (limit ColdLimit) validate() error {
+	switch {
+	case limit.Start < 0:
+		return fmt.Errorf("cold.start: %s is negative", limit.Start)
+	case !(limit.PerSecond >= 0) || math.IsInf(limit.PerSecond, 1):
+		return fmt.Errorf("cold.per_second: %v is no rate", limit.PerSecond)
+	}
+	return nil
+}
+
 func (configuration *Configuration) validateRoutes(services map[string]bool) error {
 	names := make(map[string]bool, len(configuration.Routes))
 	addresses := make(map[netip.AddrPort]bool, len(configuration.Routes))
--- a/internal/direct/directory/apply.go
+++ b/internal/direct/directory/apply.go
@@ -46,7 +46,7 @@
 	case command.Forget != nil:
 		directory.forget(command.Forget.IDs)
 	case command.Evacuate != nil:
-		return directory.evacuations.order(command.Evacuate, directory.revision)
+		return directory.orderZone(command.Evacuate)
 	}
 	return Result{}
 }
@@ -65,6 +65,9 @@
 	}
 	directory.configuration = next
 	directory.configurationAt = directory.revision
+	if difference.ServicesChanged {
+		directory.takeColdLimits()
+	}
 	if difference.ServicesChanged || difference.LimitsChanged {
 		directory.limitsAt = directory.revision
 	}
@@ -114,6 +117,7 @@
 		target.Capacity = stated.Capacity
 		directory.touch(target)
 	}
+	directory.changeColdness(target, stated)
 	return Result{Token: target.Token}
 }
 
@@ -121,6 +125,7 @@
 func (directory *Directory) admit(stated Target) Result {
 	added := stated
 	added.Aside = false
+	added.ColdDoubted = false
 	added.Token = directory.nextToken
 	directory.nextToken++
 	directory.targets.add(&added)
--- a/internal/direct/directory/changes.go
+++ b/internal/direct/directory/changes.go
@@ -31,7 +31,12 @@
 	State    TargetState
 	// Aside tells that the target gets no new flows while others can.
 	Aside bool
-	Cold  time.Duration
+	// Cold is how much longer the target stays slow, as it stated last; zero once it
+	// is warm.
+	Cold time.Duration
+	// Holder is the one balancer that may give the target new flows while it is cold
+	// and its service has a cold limit; empty for none.
+	Holder model.NodeName
 }
 
 // Changes is what changed between two revisions. With Whole, it is everything
@@ -48,6 +53,15 @@
 	Forgotten   []Token
 	// Zones replaces what the reader knows of zones; nil when that is unchanged.
 	Zones *Zones
+	// ColdLimits replaces what the reader knows of them; nil when that is unchanged.
+	ColdLimits *ColdLimits
+}
+
+// ColdLimits are the bounds of all services that have one.
+type ColdLimits struct {
+	// PerSecond is the number of new flows a second that a cold target bears, by
+	// service.
+	PerSecond map[string]float64
 }
 
 // Zones is what balancers need of zones. It is small, and always told as a whole.
@@ -82,6 +96,9 @@
 	if directory.evacuations.changedAt > from || changes.Whole {
 		changes.Zones = &Zones{Evacuated: directory.evacuations.list()}
 	}
+	if directory.limitsAt > from || changes.Whole {
+		changes.ColdLimits = directory.coldLimitsOfAll()
+	}
 	if !changes.Whole {
 		directory.collectRemovals(&changes, from)
 	}
@@ -99,6 +116,7 @@
 		State:    target.State,
 		Aside:    target.Aside,
 		Cold:     target.Cold,
+		Holder:   target.Holder,
 	}
 }
 
--- a/internal/direct/directory/combine.go
+++ b/internal/direct/directory/combine.go
@@ -34,11 +34,12 @@
 
 // combination is the state of what changed, by its key.
 type combination struct {
-	routes    map[netip.AddrPort]RouteEntry
-	removed   map[netip.AddrPort]bool
-	targets   map[Token]TargetEntry
-	forgotten map[Token]bool
-	zones     *Zones
+	routes     map[netip.AddrPort]RouteEntry
+	removed    map[netip.AddrPort]bool
+	targets    map[Token]TargetEntry
+	forgotten  map[Token]bool
+	zones      *Zones
+	coldLimits *ColdLimits
 }
 
 // add takes a part in. Within a part, removals come before additions.
@@ -58,6 +59,9 @@
 	if part.Zones != nil {
 		combined.zones = part.Zones
 	}
+	if part.ColdLimits != nil {
+		combined.coldLimits = part.ColdLimits
+	}
 	for _, entry := range part.Targets {
 		combined.targets[entry.Token] = entry
 	}
@@ -66,6 +70,7 @@
 // changes adds what was combined to head, in a fixed order.
 func (combined *combination) changes(head Changes) Changes {
 	head.Zones = combined.zones
+	head.ColdLimits = combined.coldLimits
 	for _, entry := range combined.routes {
 		head.Routes = append(head.Routes, entry)
 	}
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -9,6 +9,7 @@
 //   - the declared version never goes back;
 //   - a token names one incarnation of one target for ever;
 //   - a target that drains never takes new flows again;
+//   - an incarnation of a target has at most one holder for ever;
 //   - an order for a zone changes nothing if another order was applied since its
 //     member looked.
 package directory
@@ -71,8 +72,17 @@
 	// Aside tells that the target gets no new flows for now, because it leaves
 	// requests unanswered.
 	Aside bool
-	// Cold is how long the target stays slow after its registration.
+	// Cold is how much longer the target stays slow, as it stated last; zero once it
+	// is warm. Renewals change it only for services whose cold targets are bounded.
 	Cold time.Duration
+	// ColdDoubted tells that the target counts as cold because its zone was taken
+	// back, not by its own word. Its next renewal that says "warm" may have been sent
+	// before the target turned cold, so that a second one has to say so, too.
+	ColdDoubted bool
+	// Holder is the one balancer that may give the target new flows while it is cold;
+	// empty for none. It never changes in the life of an incarnation, so that two
+	// balancers whose tables differ never both hold the target's rate.
+	Holder model.NodeName
 	// Sequence is the number of the latest call that changed the target.
 	Sequence uint64
 	// Revision is that of the target's last change.
@@ -110,6 +120,9 @@
 	// forgotten are tokens of targets that were taken out.
 	forgotten []forgottenTarget
 	nextToken Token
+	// coldLimits has the bounds of the configuration's services by name, of those
+	// that have one.
+	coldLimits map[string]declared.ColdLimit
 	// evacuations are the zones that operators emptied.
 	evacuations evacuations
 }
@@ -138,6 +151,7 @@
 	directory.targets = newTargetIndex()
 	directory.forgotten = nil
 	directory.nextToken = 1
+	directory.coldLimits = make(map[string]declared.ColdLimit)
 	directory.evacuations = newEvacuations()
 }
 
--- a/internal/direct/directory/snapshot.go
+++ b/internal/direct/directory/snapshot.go
@@ -62,6 +62,7 @@
 	directory.configuration = &saved.Configuration
 	directory.configurationAt = saved.ConfigurationAt
 	directory.limitsAt = saved.ConfigurationAt
+	directory.takeColdLimits()
 	directory.removedFloor = saved.Revision
 	directory.nextToken = saved.NextToken
 	for _, route := range saved.Configuration.Routes {
--- a/internal/direct/registrar/evacuate_test.go
+++ b/internal/direct/registrar/evacuate_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"merlinpaddle/internal/direct/declared"
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/faults"
 	"merlinpaddle/internal/replica"
@@ -114,3 +115,25 @@
 	bench.group.Submit(late, func([]byte, error) {})
 	require.Empty(t, bench.evacuated())
 }
+
+// TestColdnessIsCommittedWhereItIsBounded: balancers have to know it there; elsewhere a
+// renewal costs no commit.
+func TestColdnessIsCommittedWhereItIsBounded(t *testing.T) {
+	for _, perSecond := range []float64{0, 4} {
+		bench := newBench(t)
+		next := configurationOf(1, 443)
+		next.Services[0].Cold = declared.ColdLimit{Stated: true, Start: time.Second, PerSecond: perSecond}
+		require.NoError(t, bench.declare(next))
+		cold := ready(1, 1)
+		cold.Cold = time.Second
+		require.NoError(t, bench.register(cold))
+		before := bench.group.proposed
+		require.NoError(t, bench.register(ready(1, 2)))
+		committed := bench.group.proposed - before
+		if perSecond > 0 {
+			require.Equal(t, 1, committed)
+		} else {
+			require.Zero(t, committed)
+		}
+	}
+}
--- a/internal/direct/registrar/registrar.go
+++ b/internal/direct/registrar/registrar.go
@@ -78,7 +78,7 @@
 		return
 	}
 	registrar.renewals.Put(stated.ID, now)
-	if known, exists := registrar.directory.Target(stated.ID); exists && isRenewal(known, stated) {
+	if known, exists := registrar.directory.Target(stated.ID); exists && registrar.isRenewal(known, stated) {
 		done(nil)
 		return
 	}
@@ -96,9 +96,12 @@
 	})
 }
 
-// isRenewal tells whether a registration changes nothing that must be durable.
-func isRenewal(known, stated directory.Target) bool {
-	return known.State != directory.TargetFailed &&
+// isRenewal tells whether a registration changes nothing that must be durable. Whether
+// a target is cold matters to balancers only where cold targets are bounded.
+func (registrar *Registrar) isRenewal(known, stated directory.Target) bool {
+	_, bounded := registrar.directory.ColdLimit(known.Service)
+	sameColdness := (known.Cold > 0) == (stated.Cold > 0)
+	return (sameColdness || !bounded) && known.State != directory.TargetFailed &&
 		stated.State <= known.State &&
 		stated.Address == known.Address &&
 		stated.Capacity == known.Capacity
--- a/internal/direct/renewal/relay.go
+++ b/internal/direct/renewal/relay.go
@@ -63,7 +63,9 @@
 		return faults.New(faults.QuorumUnconfirmed, "this balancer has not heard from a quorum lately")
 	}
 	known, exists := relay.table.FindTarget(stated.ID)
+	sameColdness := (known.Cold > 0) == (stated.Cold > 0)
 	unchanged := exists &&
+		(sameColdness || !relay.table.ColdBounded(known.Service)) &&
 		known.State == directory.TargetReady &&
 		stated.State == directory.TargetReady &&
 		known.Address == stated.Address &&
--- a/internal/direct/renewal/relay_test.go
+++ b/internal/direct/renewal/relay_test.go
@@ -108,3 +108,18 @@
 	rig.relay.Reconcile(start.Add(2 * tellInterval))
 	require.Empty(t, rig.mailbox.Outbox.Drain())
 }
+
+// TestRenewalThatChangesColdnessGoesToAMember where cold targets are bounded: balancers
+// must learn of it.
+func TestRenewalThatChangesColdnessGoesToAMember(t *testing.T) {
+	cold := target(7)
+	cold.Cold = time.Second
+	rig := newRig(t)
+	require.NoError(t, rig.relay.Renew(start, cold), "nobody needs to know")
+	bounded := &directory.ColdLimits{PerSecond: map[string]float64{"feed": 4}}
+	require.True(t, rig.table.Apply(directory.Changes{From: 1, To: 2, Version: 1, ColdLimits: bounded, Targets: []directory.TargetEntry{
+		{Token: 1, ID: 7, Service: "feed", Address: address, Capacity: 2, State: directory.TargetReady},
+	}}, start))
+	require.Equal(t, faults.NotLeader, faults.CodeOf(rig.relay.Renew(start, cold)))
+	require.NoError(t, rig.relay.Renew(start, target(7)))
+}
--- a/internal/direct/steer/apply.go
+++ b/internal/direct/steer/apply.go
@@ -21,6 +21,7 @@
 		}
 	}
 	table.mergeZones(changes.Zones)
+	table.coldness.merge(changes.ColdLimits)
 	table.mergeRoutes(changes.Routes)
 	table.mergeTargets(changes.Targets, now, first)
 }
@@ -42,6 +43,7 @@
 		delete(table.targets, token)
 	}
 	table.mergeZones(changes.Zones)
+	table.coldness.merge(changes.ColdLimits)
 	table.mergeRoutes(changes.Routes)
 	table.mergeTargets(changes.Targets, now, false)
 }
@@ -82,6 +84,9 @@
 		if known.State != entry.State {
 			known.avoidUntil = time.Time{}
 		}
+		if entry.Cold == 0 {
+			known.warmAt = time.Time{}
+		}
 		known.TargetEntry = entry
 		known.near = entry.Zone != "" && entry.Zone == table.options.Zone
 	}
@@ -108,6 +113,9 @@
 		built.targets = append(built.targets, target)
 		built.capacity += target.Capacity
 	}
+	for name, built := range services {
+		built.restrictCold(table.coldness.perSecond[name], table.options.Self)
+	}
 	table.services = services
 }
 
--- /dev/null
+++ b/internal/direct/steer/coldness.go
@@ -0,0 +1,122 @@
+package steer
+
+import (
+	"sync"
+	"time"
+
+	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/model"
+)
+
+// holderWindow is the span in which the holder of a cold target gives it no more new
+// flows than it bears in a second. It is longer than a second, because opening packets
+// may wait up to some tens of milliseconds on their way, so that those of a longer
+// span arrive within one second.
+const holderWindow = 1200 * time.Millisecond
+
+// coldness is the state of a table that concerns cold targets.
+type coldness struct {
+	// perSecond is the number of new flows a second that a cold target bears, by
+	// service; services without a bound are not in it.
+	perSecond map[string]float64
+}
+
+func (coldness *coldness) merge(limits *directory.ColdLimits) {
+	if limits != nil {
+		coldness.perSecond = limits.PerSecond
+	}
+}
+
+// limits returns the bounds for another balancer.
+func (coldness *coldness) limits() *directory.ColdLimits {
+	return &directory.ColdLimits{PerSecond: coldness.perSecond}
+}
+
+// ColdBounded tells whether the new flows of cold targets of a service are bounded.
+func (table *Table) ColdBounded(service string) bool {
+	table.lock.RLock()
+	defer table.lock.RUnlock()
+	return table.coldness.perSecond[service] > 0
+}
+
+// restrictCold settles which targets of a bounded service are cold, and which of them
+// this balancer holds. Others take none of its new flows: no balancer but the holder
+// can know what the others send, so that the sum over all keeps the bound whatever
+// their tables say.
+func (service *service) restrictCold(perSecond float64, self model.NodeName) {
+	if perSecond <= 0 {
+		return
+	}
+	warm := service.targets[:0]
+	for _, target := range service.targets {
+		if target.Cold == 0 {
+			warm = append(warm, target)
+			continue
+		}
+		service.cold++
+		if target.Holder == self && self != "" {
+			service.held = append(service.held, target)
+		}
+	}
+	service.targets = warm
+	service.heldRate = perSecond
+}
+
+// holding counts the new flows that a balancer gave to a cold target that it holds.
+type holding struct {
+	lock  sync.Mutex
+	given []time.Time
+}
+
+// take notes one more new flow, and returns false when the target would get more than
+// perSecond of them within the window.
+func (holding *holding) take(now time.Time, perSecond float64) bool {
+	holding.lock.Lock()
+	defer holding.lock.Unlock()
+	kept := holding.given[:0]
+	for _, at := range holding.given {
+		if now.Sub(at) < holderWindow {
+			kept = append(kept, at)
+		}
+	}
+	holding.given = kept
+	if float64(len(kept)+1) > perSecond {
+		return false
+	}
+	holding.given = append(holding.given, now)
+	return true
+}
+
+// openCold gives a new flow to a cold target that this balancer holds and that bears
+// one more, the best by hash first. A balancer that started within the window does not
+// know what it gave in its former life, and gives none.
+func (table *Table) openCold(service *service, hash uint64, segment Segment, route route, now time.Time) (Decision, bool) {
+	if segment.Attempt > 0 || now.Sub(table.servingSince) < holderWindow {
+		return Decision{}, false
+	}
+	var choices choices
+	for _, target := range service.held {
+		if target.usable(now) {
+			choices.add(target, target.score(hash, now, table.options))
+		}
+	}
+	for _, target := range choices.targets[:choices.count] {
+		if target.holding.take(now, service.heldRate) {
+			decision := forwardTo(target, ReasonChosen)
+			decision.Objective = route.objective
+			return decision, true
+		}
+	}
+	return Decision{}, false
+}
+
+// refuseCold answers an opening packet whose service has no target but cold ones that
+// bear no more. It is refused at once: a cold target's rate is used by those that came
+// before, and waiting would only add to those that come after. A copy of a packet that
+// was sent on is not refused, because the flow may have opened.
+func refuseCold(segment Segment) Decision {
+	if segment.Seen {
+		return Decision{Reason: ReasonCold}
+	}
+	return Decision{Action: Reset, Reason: ReasonCold}
+}
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -94,7 +94,7 @@
 		return Decision{Reason: ReasonNoTarget}
 	}
 	if len(service.targets) == 0 {
-		return table.refuseEvacuated(segment, service, now)
+		return table.openWithoutTargets(service, hash, segment, route, now)
 	}
 	var choices choices
 	service.rank(hash, now, table.options, &choices)
@@ -105,6 +105,9 @@
 	late := open >= chosen.slots() && table.exceeds(expected, route)
 	congested := service.congestion.observe(late, now)
 	if congested && late && !segment.Seen {
+		if decision, opened := table.openCold(service, hash, segment, route, now); opened {
+			return decision
+		}
 		return Decision{Action: Reset, Reason: ReasonOverloaded, ID: chosen.ID, Open: open, Expected: expected}
 	}
 	decision := forwardTo(chosen, ReasonChosen)
@@ -117,6 +120,18 @@
 	return decision
 }
 
+// openWithoutTargets decides about an opening packet whose service has targets, none
+// of which takes new flows of all balancers.
+func (table *Table) openWithoutTargets(service *service, hash uint64, segment Segment, route route, now time.Time) Decision {
+	if service.cold == 0 {
+		return table.refuseEvacuated(segment, service, now)
+	}
+	if decision, opened := table.openCold(service, hash, segment, route, now); opened {
+		return decision
+	}
+	return refuseCold(segment)
+}
+
 // refuseEvacuated answers an opening packet whose service has targets in emptied
 // zones alone. The order stands until an operator ends it, so that waiting does not
 // help the caller. A balancer whose table may be old says nothing, because the order
--- a/internal/direct/steer/options.go
+++ b/internal/direct/steer/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/model"
 )
 
 // Options are the bounds that a table works with.
@@ -14,6 +15,8 @@
 	// AvoidFor is how long a target that a probe found dead gets no new flows
 	// from this balancer, unless the table says otherwise before.
 	AvoidFor time.Duration
+	// Self is the balancer's name.
+	Self model.NodeName
 	// Zone is the balancer's zone. Targets of the same zone get NearWeight
 	// times as many of its new flows as others of the same capacity.
 	Zone       string
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -99,13 +99,16 @@
 	// ReasonEvacuated: all targets of the pool's part are in zones that operators
 	// emptied.
 	ReasonEvacuated
+	// ReasonCold: all targets of the pool's part are cold and bear no more new flows
+	// of this balancer.
+	ReasonCold
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"chosen", "owner", "no_table", "no_route", "no_route_stale", "no_target",
 	"unknown_token", "target_failed", "missing_token", "overloaded", "link_full",
-	"evacuated",
+	"evacuated", "cold",
 }
 
 // String returns the reason's stable name.
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -21,6 +21,8 @@
 	near bool
 	// warmAt is when the target is no longer slow from its start.
 	warmAt time.Time
+	// holding has what this balancer gave the target while it was cold.
+	holding holding
 	// avoidUntil is set when a probe found the target dead.
 	avoidUntil time.Time
 }
@@ -39,6 +41,12 @@
 // service has the targets of a service that may take new flows.
 type service struct {
 	targets []*record
+	// cold is the number of targets that take no flows of this balancer because they
+	// are cold, held ones included; held are those whose rate, heldRate new flows a
+	// second, this balancer holds.
+	cold     int
+	held     []*record
+	heldRate float64
 	// evacuatedSince is the revision of the latest order that emptied a zone in which
 	// the service has targets; zero without one.
 	evacuatedSince model.Revision
@@ -71,6 +79,7 @@
 	routes       map[netip.AddrPort]route
 	targets      map[directory.Token]*record
 	services     map[string]*service
+	coldness     coldness
 	// evacuated are the zones whose targets get no new flows, by name.
 	evacuated map[string]directory.Evacuation
 	changes   board.Notifier
@@ -178,7 +187,7 @@
 func (table *Table) Everything() directory.Changes {
 	table.lock.RLock()
 	defer table.lock.RUnlock()
-	whole := directory.Changes{Whole: true, To: table.revision, Version: table.version, IdleTimeout: table.idleTimeout, Zones: table.zones()}
+	whole := directory.Changes{Whole: true, To: table.revision, Version: table.version, IdleTimeout: table.idleTimeout, Zones: table.zones(), ColdLimits: table.coldness.limits()}
 	for address, route := range table.routes {
 		whole.Routes = append(whole.Routes, directory.RouteEntry{
 			Address: address, Pool: route.parts, Objective: route.objective, Priority: route.priority,
