Serve routes by targets of their regions alone

Cause: the regions that a route allows were not read, so that they were neither given back nor obeyed.

Change: they are declared, kept, told to balancers and given back. A table keeps a service's targets apart for each set of regions that a route has, so that the choice never sees the others and costs nothing where no route has any. A route whose service has targets in other regions alone is refused at once by a current table, reason "no_home"; where there is no target at all it waits, as before. Balancers take the regions of zones from their settings.

--- a/internal/direct/admin/admin_test.go
+++ b/internal/direct/admin/admin_test.go
@@ -63,7 +63,7 @@
 		Version: version,
 		Routes: []declared.Route{{
 			Name: "feed", Address: netip.MustParseAddrPort("198.18.0.1:443"), Kind: declared.KindSafe,
-			Timeout: 1500 * time.Millisecond, Objective: 120 * time.Millisecond, Priority: 2, Attempts: 3, Weighted: true,
+			Timeout: 1500 * time.Millisecond, Objective: 120 * time.Millisecond, Priority: 2, Attempts: 3, Weighted: true, Regions: []string{"north"},
 			Pool: []declared.PoolPart{{Service: "feed", Weight: 90}, {Service: "ledger", Weight: 10}},
 		}},
 		Services: []declared.Service{{Name: "feed", HealthPath: "/health", MaxConnections: 2000, Protocol: "h1",
--- a/internal/direct/admin/document.go
+++ b/internal/direct/admin/document.go
@@ -51,7 +51,9 @@
 	Priority  int    `json:"priority,omitempty" yaml:"priority,omitempty"`
 	Attempts  int    `json:"attempts,omitempty" yaml:"attempts,omitempty"`
 	Weighted  bool   `json:"weighted,omitempty" yaml:"weighted,omitempty"`
-	Pool      []Part `json:"pool" yaml:"pool"`
+	// Regions are the regions whose targets may serve the route; none for all.
+	Regions []string `json:"regions,omitempty" yaml:"regions,omitempty"`
+	Pool    []Part   `json:"pool" yaml:"pool"`
 }
 
 // Part is one service's part of a pool.
@@ -108,6 +110,7 @@
 		Priority:  held.Priority,
 		Attempts:  held.Attempts,
 		Weighted:  held.Weighted,
+		Regions:   held.Regions,
 	}
 	for _, part := range held.Pool {
 		route.Pool = append(route.Pool, Part(part))
@@ -195,6 +198,7 @@
 		Priority:  route.Priority,
 		Attempts:  route.Attempts,
 		Weighted:  route.Weighted,
+		Regions:   route.Regions,
 	}
 	for _, part := range route.Pool {
 		stated.Pool = append(stated.Pool, declared.PoolPart(part))
--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -72,12 +72,21 @@
 	options := steer.DefaultOptions()
 	options.Self = model.NodeName(chosen.Node)
 	options.Zone = chosen.Zone
+	options.Regions = regionsOf(chosen.Direct.Zones)
 	options.Candidates = chosen.Direct.LoadCandidates
 	options.AdmitShare = chosen.Direct.LoadAdmission
 	options.Loads = book
 	return steer.NewTable(options)
 }
 
+func regionsOf(zones []settings.Zone) map[string]string {
+	regions := make(map[string]string, len(zones))
+	for _, zone := range zones {
+		regions[zone.Name] = zone.Region
+	}
+	return regions
+}
+
 func provideSubscriber(chosen settings.Settings, mailbox *protocol.Mailbox, dispatcher *protocol.Dispatcher,
 	table *steer.Table, connections *connections, changed *changeListeners) *feed.Subscriber {
 	return feed.NewSubscriber(feed.SubscriberOptions{
--- a/internal/direct/declared/declared.go
+++ b/internal/direct/declared/declared.go
@@ -68,6 +68,9 @@
 	// Weighted tells that the operator stated the pool as weighted parts
 	// rather than as one service.
 	Weighted bool
+	// Regions are the regions whose targets may serve the route, its homes; empty for
+	// all.
+	Regions []string
 }
 
 // Service is a group of targets that serve the same.
@@ -182,6 +185,11 @@
 	case !route.Kind.Known():
 		return invalid("routes[%d].kind: %q is not known", index, route.Kind)
 	}
+	for position, region := range route.Regions {
+		if region == "" {
+			return invalid("routes[%d].regions[%d]: is empty", index, position)
+		}
+	}
 	return route.validatePool(index, services)
 }
 
--- a/internal/direct/declared/declared_test.go
+++ b/internal/direct/declared/declared_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -51,6 +52,12 @@
 		{"no time-out", func(c *Configuration) { c.Routes[0].Timeout = 0 }, "routes[0].timeout"},
 		{"negative time-out", func(c *Configuration) { c.Routes[0].Timeout = -1 }, "routes[0].timeout"},
 		{"unknown kind", func(c *Configuration) { c.Routes[0].Kind = "odd" }, "routes[0].kind"},
+		{"cold limit", func(c *Configuration) { c.Services[0].Cold = ColdLimit{Stated: true, Start: time.Second, PerSecond: 2} }, ""},
+		{"negative cold time", func(c *Configuration) { c.Services[0].Cold.Start = -1 }, "services[0].cold.start"},
+		{"negative cold rate", func(c *Configuration) { c.Services[1].Cold.PerSecond = -1 }, "services[1].cold.per_second"},
+		{"cold rate that is no number", func(c *Configuration) { c.Services[1].Cold.PerSecond = math.NaN() }, "services[1].cold.per_second"},
+		{"regions", func(c *Configuration) { c.Routes[0].Regions = []string{"north"} }, ""},
+		{"empty region", func(c *Configuration) { c.Routes[0].Regions = []string{"north", ""} }, "routes[0].regions[1]"},
 		{"unknown service", func(c *Configuration) { c.Routes[1].Pool[0].Service = "odd" }, "routes[1].pool[0]"},
 		{"negative weight", func(c *Configuration) { c.Routes[0].Pool[0].Weight = -1 }, "routes[0].pool[0]"},
 		{"no weight at all", func(c *Configuration) { c.Routes[1].Pool[0].Weight = 0 }, "routes[1].pool"},
--- a/internal/direct/declared/difference.go
+++ b/internal/direct/declared/difference.go
@@ -37,6 +37,7 @@
 		route.Priority == other.Priority &&
 		route.Attempts == other.Attempts &&
 		route.Weighted == other.Weighted &&
+		slices.Equal(route.Regions, other.Regions) &&
 		slices.Equal(route.Pool, other.Pool)
 }
 
--- a/internal/direct/directory/changes.go
+++ b/internal/direct/directory/changes.go
@@ -17,6 +17,8 @@
 	Objective time.Duration
 	// Priority orders routes under overload; zero is the highest.
 	Priority int
+	// Regions are the regions whose targets may serve the route; empty for all.
+	Regions []string
 }
 
 // TargetEntry is what a balancer needs of a target.
@@ -126,6 +128,7 @@
 		Pool:      record.route.Pool,
 		Objective: record.route.Objective,
 		Priority:  record.route.Priority,
+		Regions:   record.route.Regions,
 	}
 }
 
--- a/internal/direct/steer/apply.go
+++ b/internal/direct/steer/apply.go
@@ -61,7 +61,7 @@
 
 func (table *Table) mergeRoutes(entries []directory.RouteEntry) {
 	for _, entry := range entries {
-		added := route{parts: entry.Pool, objective: entry.Objective, priority: entry.Priority}
+		added := route{parts: entry.Pool, objective: entry.Objective, priority: entry.Priority, home: homeOf(entry.Regions)}
 		for _, part := range entry.Pool {
 			added.total += part.Weight
 		}
@@ -88,6 +88,7 @@
 			known.warmAt = time.Time{}
 		}
 		known.TargetEntry = entry
+		known.region = table.options.Regions[entry.Zone]
 		known.near = entry.Zone != "" && entry.Zone == table.options.Zone
 	}
 }
@@ -96,25 +97,33 @@
 // zones count for nothing, neither for the choice nor for the capacity that load is
 // compared with; their services keep what they learned.
 func (table *Table) rebuildServices() {
-	services := make(map[string]*service)
+	services := make(map[serviceKey]*service)
+	homes := table.homes()
 	for _, target := range table.targets {
 		if target.State != directory.TargetReady {
 			continue
 		}
-		built := services[target.Service]
-		if built == nil {
-			built = newService(table.services[target.Service])
-			services[target.Service] = built
-		}
-		if _, evacuated := table.evacuated[target.Zone]; evacuated {
-			built.evacuatedSince = max(built.evacuatedSince, table.evacuated[target.Zone].Since)
-			continue
+		evacuation, evacuated := table.evacuated[target.Zone]
+		for _, home := range homes {
+			if !home.allows(target.region) {
+				continue
+			}
+			key := serviceKey{name: target.Service, home: home}
+			built := services[key]
+			if built == nil {
+				built = newService(table.services[key])
+				services[key] = built
+			}
+			if evacuated {
+				built.evacuatedSince = max(built.evacuatedSince, evacuation.Since)
+				continue
+			}
+			built.targets = append(built.targets, target)
+			built.capacity += target.Capacity
 		}
-		built.targets = append(built.targets, target)
-		built.capacity += target.Capacity
 	}
-	for name, built := range services {
-		built.restrictCold(table.coldness.perSecond[name], table.options.Self)
+	for key, built := range services {
+		built.restrictCold(table.coldness.perSecond[key.name], table.options.Self)
 	}
 	table.services = services
 }
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -89,9 +89,9 @@
 	if !found {
 		return Decision{Reason: ReasonNoTarget}
 	}
-	service := table.services[name]
+	service := table.services[serviceKey{name: name, home: route.home}]
 	if service == nil {
-		return Decision{Reason: ReasonNoTarget}
+		return table.refuseHome(segment, name, route, now)
 	}
 	if len(service.targets) == 0 {
 		return table.openWithoutTargets(service, hash, segment, route, now)
@@ -120,6 +120,21 @@
 	return decision
 }
 
+// refuseHome answers an opening packet whose service has no target in the route's
+// regions. Where it has some elsewhere, waiting does not help the caller, and it is
+// refused; else one may register soon.
+func (table *Table) refuseHome(segment Segment, name string, route route, now time.Time) Decision {
+	elsewhere := route.home != everywhere && table.services[serviceKey{name: name}] != nil
+	switch {
+	case !elsewhere:
+		return Decision{Reason: ReasonNoTarget}
+	case segment.Seen || !table.fresh(now):
+		return Decision{Reason: ReasonNoHome}
+	default:
+		return Decision{Action: Reset, Reason: ReasonNoHome}
+	}
+}
+
 // openWithoutTargets decides about an opening packet whose service has targets, none
 // of which takes new flows of all balancers.
 func (table *Table) openWithoutTargets(service *service, hash uint64, segment Segment, route route, now time.Time) Decision {
--- a/internal/direct/steer/options.go
+++ b/internal/direct/steer/options.go
@@ -21,6 +21,9 @@
 	// times as many of its new flows as others of the same capacity.
 	Zone       string
 	NearWeight float64
+	// Regions has the region of each zone by its name. A target whose zone is not in it
+	// serves no route that is bound to regions.
+	Regions map[string]string
 	// Candidates is the number of targets, best by hash, among which the least
 	// busy one is chosen for a new flow; one chooses by hash alone.
 	Candidates int
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -102,13 +102,16 @@
 	// ReasonCold: all targets of the pool's part are cold and bear no more new flows
 	// of this balancer.
 	ReasonCold
+	// ReasonNoHome: the pool's part has targets, but none in a region that may serve
+	// the route.
+	ReasonNoHome
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"chosen", "owner", "no_table", "no_route", "no_route_stale", "no_target",
 	"unknown_token", "target_failed", "missing_token", "overloaded", "link_full",
-	"evacuated", "cold",
+	"evacuated", "cold", "no_home",
 }
 
 // String returns the reason's stable name.
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -19,6 +19,8 @@
 	seed uint64
 	// near tells that the target is in the balancer's zone.
 	near bool
+	// region is the region of the target's zone; empty when it is not known.
+	region string
 	// warmAt is when the target is no longer slow from its start.
 	warmAt time.Time
 	// holding has what this balancer gave the target while it was cold.
@@ -34,6 +36,8 @@
 	// objective is the latency that operators aim at; zero for none.
 	objective time.Duration
 	priority  int
+	// home names the regions whose targets may serve the route.
+	home home
 	// rank is the number of different priorities of other routes that go before.
 	rank int
 }
@@ -78,7 +82,7 @@
 	idleTimeout  time.Duration
 	routes       map[netip.AddrPort]route
 	targets      map[directory.Token]*record
-	services     map[string]*service
+	services     map[serviceKey]*service
 	coldness     coldness
 	// evacuated are the zones whose targets get no new flows, by name.
 	evacuated map[string]directory.Evacuation
@@ -93,7 +97,7 @@
 		options:  options,
 		routes:   make(map[netip.AddrPort]route),
 		targets:  make(map[directory.Token]*record),
-		services: make(map[string]*service),
+		services: make(map[serviceKey]*service),
 	}
 }
 
@@ -190,7 +194,7 @@
 	whole := directory.Changes{Whole: true, To: table.revision, Version: table.version, IdleTimeout: table.idleTimeout, Zones: table.zones(), ColdLimits: table.coldness.limits()}
 	for address, route := range table.routes {
 		whole.Routes = append(whole.Routes, directory.RouteEntry{
-			Address: address, Pool: route.parts, Objective: route.objective, Priority: route.priority,
+			Address: address, Pool: route.parts, Objective: route.objective, Priority: route.priority, Regions: route.home.regions(),
 		})
 	}
 	for _, target := range table.targets {
@@ -227,7 +231,7 @@
 	if !known {
 		return "", 0
 	}
-	if known := table.services[target.Service]; known != nil {
+	if known := table.services[serviceKey{name: target.Service}]; known != nil {
 		capacity = known.capacity
 	}
 	return target.Service, capacity
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -17,6 +17,10 @@
 	case last.Message == messageReset && last.Reason == "evacuated":
 		return fmt.Sprintf("The flow was refused at once: all targets of its service are in zones that operators emptied, the latest by the order at revision %d. "+
 			"It stays so until a zone is taken back, or targets register elsewhere.", last.EvacuatedSince)
+	case last.Message == messageReset && last.Reason == "no_home":
+		return fmt.Sprintf("The flow was refused at once: the route %s may be served in some regions alone, and its service has no target there.", last.Route)
+	case last.Message == messageReset && last.Reason == "cold":
+		return "The flow was refused at once: all targets of its service had just started or returned, and those whose rate this balancer holds were given what they bear."
 	case last.Message == messageReset && last.Reason == "link_full":
 		return fmt.Sprintf("The flow was refused before it opened: long requests filled the balancer's own link, which would have carried its request after %s only. "+
 			"The caller's next try goes to another balancer.", last.Expected)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,6 +80,9 @@
 	// balancers to each other or, in a large system, to members and back; zero
 	// shares none.
 	LoadInterval time.Duration `koanf:"load_interval" validate:"min=0,max=1000000000"`
+	// Zones are the zones of the system with their regions. A balancer needs them for
+	// routes that targets of some regions alone may serve.
+	Zones []Zone `koanf:"zones" validate:"dive"`
 	// Renewals is the address on which a balancer takes renewals of targets
 	// that members hand over; empty takes none.
 	Renewals string `koanf:"renewals" validate:"omitempty,hostport"`
@@ -113,6 +116,14 @@
 	StopGrace time.Duration `koanf:"stop_grace" validate:"min=0,max=300000000000"`
 }
 
+// Zone is a zone of the system and its region.
+type Zone struct {
+	// Name is the zone's name, as targets state it.
+	Name string `koanf:"name" validate:"required"`
+	// Region is the name of the region that the zone lies in, as routes state it.
+	Region string `koanf:"region" validate:"required"`
+}
+
 // Log is the section of structured log lines.
 type Log struct {
 	// Output tells whether lines go to standard output besides the ring.
