Simulate emptied zones and cold returns

Three scenarios on virtual time: operators empty zones and take them back while members are killed, cut off and stand still, and repeat their orders; every process loses power right after an order was acknowledged; zones return cold after a loss and after an evacuation while balancers are cut off and restart. Checkers: a zone emptied by an acknowledged order gets no new flow after 5 s in calm, the leader and every balancer end with what was acknowledged last, and a cold target gets no more than its rate, overage and slack in any second, whoever sends.

The holder of a cold target is chosen in the registrar, so that every way of registering has one.

--- a/internal/checker/violation.go
+++ b/internal/checker/violation.go
@@ -32,6 +32,12 @@
 	InvariantRequestAnswered Invariant = "request-answered"
 	// InvariantDrain: a leaving target gets no new work after a few seconds.
 	InvariantDrain Invariant = "drain"
+	// InvariantEvacuated: a zone that is emptied by order gets no new work after a few
+	// seconds, and orders that were acknowledged hold.
+	InvariantEvacuated Invariant = "evacuated"
+	// InvariantColdRate: a cold target gets no more new flows in any second than it
+	// bears.
+	InvariantColdRate Invariant = "cold-rate"
 	// InvariantStopCutsNothing: a planned stop cuts no request in progress.
 	InvariantStopCutsNothing Invariant = "stop-cuts-nothing"
 	// InvariantInForce: an accepted configuration runs on every leased
@@ -68,7 +74,7 @@
 	return []Invariant{
 		InvariantFlowKept, InvariantOneOwner, InvariantServiceIsolation,
 		InvariantAnswerBound, InvariantRefusedNotRun, InvariantAtMostOnce, InvariantRequestAnswered,
-		InvariantDrain, InvariantStopCutsNothing,
+		InvariantDrain, InvariantEvacuated, InvariantColdRate, InvariantStopCutsNothing,
 		InvariantInForce, InvariantNoRevert, InvariantSameConfiguration,
 		InvariantCommittedKept, InvariantOneWinner, InvariantAppliedOnce,
 		InvariantReplicasAgree, InvariantOneLeader, InvariantLinearizable,
--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -116,8 +116,9 @@
 	return registrar.NewProposer(mailbox, dispatcher, group, state, rand.Uint64())
 }
 
-func provideRegistrar(state *directory.Directory, proposer *registrar.Proposer, group *replica.Controller, renewed *registrar.Renewed, logger *zap.Logger) *registrar.Registrar {
-	return registrar.NewRegistrar(state, proposer, group, renewed, logger.Named("registrar"))
+func provideRegistrar(state *directory.Directory, proposer *registrar.Proposer, group *replica.Controller,
+	renewed *registrar.Renewed, publisher *feed.Publisher, logger *zap.Logger) *registrar.Registrar {
+	return registrar.NewRegistrar(state, proposer, group, renewed, publisher.Peers, logger.Named("registrar"))
 }
 
 func provideHandOver(chosen settings.Settings, publisher *feed.Publisher) *registrar.HandOver {
--- a/internal/direct/registrar/calls.go
+++ b/internal/direct/registrar/calls.go
@@ -25,9 +25,6 @@
 // Register takes a target's registration or renewal. It returns the address at
 // which the target is to renew from now on, or nothing for "where it likes".
 func (calls *Calls) Register(ctx context.Context, stated directory.Target) (string, error) {
-	if _, bounded := calls.registrar.directory.ColdLimit(stated.Service); bounded && stated.Cold > 0 {
-		stated.Holder = calls.handOver.Holder(stated)
-	}
 	err := calls.wait(ctx, func(now, deadline time.Time, done func(error)) {
 		calls.registrar.Register(now, stated, deadline, done)
 	})
--- a/internal/direct/registrar/handover.go
+++ b/internal/direct/registrar/handover.go
@@ -6,7 +6,6 @@
 
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
-	"merlinpaddle/internal/model"
 )
 
 // rateWindow is the time over which renewals are counted.
@@ -40,16 +39,6 @@
 	return choosePeer(handOver.peers(), stated)
 }
 
-// Holder returns the balancer that is to hold the rate of a cold target: one that
-// the members know, spread by the targets' identifiers; empty when none is known.
-func (handOver *HandOver) Holder(stated directory.Target) model.NodeName {
-	peers := handOver.peers()
-	if len(peers) == 0 {
-		return ""
-	}
-	return peers[uint64(stated.ID)%uint64(len(peers))].Name
-}
-
 // crowded counts a renewal and tells whether this window or the one before it
 // has too many.
 func (handOver *HandOver) crowded(now time.Time) bool {
--- a/internal/direct/registrar/registrar.go
+++ b/internal/direct/registrar/registrar.go
@@ -8,7 +8,9 @@
 	"merlinpaddle/internal/board"
 	"merlinpaddle/internal/direct/declared"
 	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/faults"
+	"merlinpaddle/internal/model"
 )
 
 const (
@@ -30,12 +32,17 @@
 	// renewals has when each target was heard from at this member since the
 	// leader was last told.
 	renewals *Renewed
-	logger   *zap.Logger
+	// holders are the balancers that may hold the rate of a cold target.
+	holders func() []feed.Peer
+	logger  *zap.Logger
 }
 
 // NewRegistrar returns the registrar of one member.
-func NewRegistrar(directory *directory.Directory, proposer *Proposer, group Group, renewals *Renewed, logger *zap.Logger) *Registrar {
-	return &Registrar{directory: directory, proposer: proposer, group: group, renewals: renewals, logger: logger}
+//
+// holders returns the balancers that may hold the rate of a cold target.
+func NewRegistrar(directory *directory.Directory, proposer *Proposer, group Group, renewals *Renewed,
+	holders func() []feed.Peer, logger *zap.Logger) *Registrar {
+	return &Registrar{directory: directory, proposer: proposer, group: group, renewals: renewals, holders: holders, logger: logger}
 }
 
 // Renewed is the blackboard's table of targets that were heard from at this
@@ -82,6 +89,7 @@
 		done(nil)
 		return
 	}
+	stated.Holder = registrar.holder(stated)
 	command := directory.Command{Register: &directory.Registration{Target: stated}}
 	registrar.proposer.Propose(command, deadline, func(result directory.Result, err error) {
 		registrar.logger.Info("target registered",
@@ -107,6 +115,20 @@
 		stated.Capacity == known.Capacity
 }
 
+// holder returns the balancer that is to hold the rate of a target: one that the members
+// know, spread by the targets' identifiers. It is empty for targets that are warm or have
+// no bound, and when no balancer is known.
+func (registrar *Registrar) holder(stated directory.Target) model.NodeName {
+	if _, bounded := registrar.directory.ColdLimit(stated.Service); !bounded || stated.Cold == 0 {
+		return ""
+	}
+	peers := registrar.holders()
+	if len(peers) == 0 {
+		return ""
+	}
+	return peers[uint64(stated.ID)%uint64(len(peers))].Name
+}
+
 func checkTarget(stated directory.Target) error {
 	switch {
 	case stated.ID == 0:
--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -74,6 +74,7 @@
 	balancer.startedAt = balancer.world.Now()
 	options := steer.DefaultOptions()
 	options.Zone = string(balancer.process.Zone)
+	options.Self = mailbox.Self
 	book := load.NewBook()
 	options.Loads = book
 	balancer.world.options.Parts.Choice(&options)
--- a/internal/sim/directworld/checks.go
+++ b/internal/sim/directworld/checks.go
@@ -24,6 +24,8 @@
 // checks are the rules of direct services, judged from what callers, targets
 // and operators see.
 type checks struct {
+	// zones judges the orders for zones.
+	zones *zoneChecks
 	world *World
 	// contents has the texts that were sent under each version.
 	contents            map[uint64]map[string]bool
@@ -48,6 +50,7 @@
 func newChecks(world *World) *checks {
 	return &checks{
 		world:          world,
+		zones:          newZoneChecks(world),
 		contents:       make(map[uint64]map[string]bool),
 		readContents:   make(map[uint64]string),
 		acknowledgedAt: make(map[uint64]time.Time),
@@ -207,6 +210,8 @@
 // opened judges a target that takes a new flow.
 func (checks *checks) opened(through *balancer, target *target, packet packet) {
 	world := checks.world
+	checks.zones.opened(through, target)
+	checks.openedCold(target)
 	if !checks.allowed[packet.flow.service][target.service] {
 		checks.violate(checker.InvariantServiceIsolation, "a flow to %s reached service %s", packet.flow.service, target.service)
 	}
@@ -244,6 +249,7 @@
 	}
 	held := leader.Directory.Configuration()
 	checks.read(checks.highestAcknowledged, held)
+	checks.zones.end(leader)
 	checks.replicasAgree()
 	checks.tablesAgree(leader)
 	if world.callers.opened == 0 || world.callers.failed*20 > world.callers.opened {
--- a/internal/sim/directworld/member.go
+++ b/internal/sim/directworld/member.go
@@ -83,7 +83,6 @@
 	member.group = group
 	renewed := registrar.NewRenewed()
 	proposer := registrar.NewProposer(mailbox, dispatcher, group, member.Directory, seed)
-	member.Registrar = registrar.NewRegistrar(member.Directory, proposer, group, renewed, zap.NewNop())
 	health := registrar.NewHealth(registrar.HealthOptions{
 		SilentAfter: 5 * time.Second,
 		MissedAfter: renewalInterval * 8 / 5,
@@ -92,6 +91,7 @@
 	}, mailbox, dispatcher, group, member.Directory, renewed, world.prober(member.process), zap.NewNop())
 	publisher := feed.NewPublisher(feed.PublisherOptions{Limit: world.options.Followers, TellsMembers: true},
 		mailbox, dispatcher, member.Directory, memberSource{member: member})
+	member.Registrar = registrar.NewRegistrar(member.Directory, proposer, group, renewed, publisher.Peers, zap.NewNop())
 	collecting := load.CollectorOptions{
 		Interval: loadInterval, Members: memberSource{member: member}.Members,
 		Capacities: directory.NewCapacityIndex(member.Directory),
--- a/internal/sim/directworld/operator.go
+++ b/internal/sim/directworld/operator.go
@@ -14,10 +14,12 @@
 	world   *World
 	random  *kernel.Random
 	version uint64
+	// coldLimit is the bound that every version states for all services.
+	coldLimit declared.ColdLimit
 }
 
 func newOperator(world *World) *operator {
-	return &operator{world: world, random: world.run.Random("operator")}
+	return &operator{world: world, random: world.run.Random("operator"), coldLimit: world.options.ColdLimit}
 }
 
 // base returns the configuration that every version contains.
@@ -29,8 +31,11 @@
 		}
 	}
 	return &declared.Configuration{
-		Version:  version,
-		Services: []declared.Service{{Name: serviceFeed, HealthPath: "/health"}, {Name: serviceLedger, HealthPath: "/health"}},
+		Version: version,
+		Services: []declared.Service{
+			{Name: serviceFeed, HealthPath: "/health", Cold: operator.coldLimit},
+			{Name: serviceLedger, HealthPath: "/health", Cold: operator.coldLimit},
+		},
 		Routes: []declared.Route{
 			route("feed", routeFeed, declared.KindSafe, serviceFeed, objective),
 			route("ledger", routeLedger, declared.KindDownload, serviceLedger, objective),
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -107,6 +107,22 @@
 		change:  narrow,
 		play:    fullLinks,
 	},
+	{
+		name:    "direct-evacuations",
+		summary: "operators empty zones and take them back while members are killed, cut off and stand still, and orders are repeated",
+		play:    evacuations,
+	},
+	{
+		name:    "direct-evacuated-power-loss",
+		summary: "every process loses power right after an order for a zone was acknowledged",
+		play:    evacuatedPowerLoss,
+	},
+	{
+		name:    "direct-cold-returns",
+		summary: "zones return cold, after a loss and after an evacuation, while balancers are cut off and restart",
+		change:  func(options *Options) { options.ColdLimit = coldLimit },
+		play:    coldReturns,
+	},
 	{
 		name:    "direct-leader-loss",
 		summary: "the leader is killed, loses power or stands still again and again under racing operators",
--- a/internal/sim/directworld/target.go
+++ b/internal/sim/directworld/target.go
@@ -36,6 +36,10 @@
 	// and hung has the flows with such a request.
 	grey float64
 	hung map[*flow]int
+	// coldUntil is when the target is no longer cold, and coldFlows are the times at
+	// which new flows reached it while it was.
+	coldUntil time.Time
+	coldFlows []time.Time
 	// slots has the requests of calls.
 	slots slots
 }
@@ -105,10 +109,15 @@
 func (target *target) stated() directory.Target {
 	return directory.Target{
 		ID: target.id, Service: target.service, Address: target.address, Zone: string(target.zone),
-		Capacity: 2, State: target.state, Sequence: target.sequence,
+		Capacity: 2, State: target.state, Sequence: target.sequence, Cold: target.coldFor(),
 	}
 }
 
+// coldFor returns how much longer the target is cold.
+func (target *target) coldFor() time.Duration {
+	return max(target.coldUntil.Sub(target.world.Now()), 0)
+}
+
 // retry calls the next member soon when a drain was not acknowledged.
 func (target *target) retry(state directory.TargetState) {
 	if state == directory.TargetDraining && target.leavingAckedAt.IsZero() && target.alive {
--- a/internal/sim/directworld/world.go
+++ b/internal/sim/directworld/world.go
@@ -78,6 +78,8 @@
 	// means that it has no bound. LinkShare is the share of it that balancers send
 	// at.
 	LinkRate, LinkShare float64
+	// ColdLimit is the bound of cold targets that operators declare.
+	ColdLimit declared.ColdLimit
 	// Skewed gives every process a clock of its own.
 	Skewed bool
 	Parts  Parts
--- a/internal/sim/mutant/table.go
+++ b/internal/sim/mutant/table.go
@@ -55,6 +55,8 @@
 		directRefusesEarly(),
 		directLoadNotAddedUp(),
 		directLinksAdmitAll(),
+		directEvacuationIgnored(),
+		directColdnessIgnored(),
 	}
 }
 
