Admit long requests to a link by how many are refused, and forget those that left

Cause: at three times the shifted work, uploads ask for nine tenths of what all links carry. A balancer took what half of the objective allows, so that two or three uploads shared each link: much of their data was repeated, calls waited behind it, and the next uploads were refused all the same. And each time routers changed their mind, the uploads that had left a balancer went on counting there for up to two seconds: it refused uploads on an idle link (seen in its log: no progress of two uploads, nothing admitted, for 1.3 s).

Change: while few long requests are refused (a fifth), a link takes what half of the objective allows, as before; from two fifths on it takes the next one only when it has carried the others but for 80 ms; between them in proportion. The share follows within two seconds. A request that is quiet for 300 ms while nothing waits in front of the link counts no more.

--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -214,12 +214,14 @@
 	Sharing    sharing
 	Suspects   *forwarder.Suspects
 	Forwarder  *forwarder.Forwarder
+	Admission  *transfer.Admission
 	Reloads    *process.Reloads
 }
 
 func run(parts parts) {
 	parts.Readiness.Set(readinessPart, false)
 	parts.Metrics.counts = parts.Forwarder.Counts
+	parts.Admission.ObserveLink(parts.Forwarder.LinkIdle)
 	parts.Forwarder.ObserveWaits(func(waited time.Duration) { parts.Metrics.egressWait.Observe(waited.Seconds()) })
 	parts.Registry.MustRegister(parts.Metrics, parts.Metrics.tableAge, parts.Metrics.egressWait)
 	parts.Reloads.OnChange(func(changed settings.Settings) {
--- a/internal/direct/egress/egress.go
+++ b/internal/direct/egress/egress.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// Idle tells whether no datagram waits for the link.
+func (egress *Egress) Idle() bool {
+	egress.lock.Lock()
+	defer egress.lock.Unlock()
+	return egress.queue.empty()
+}
+
 // Send writes the datagram, at once when the link is free. It keeps a copy of
 // the content when it is not.
 func (egress *Egress) Send(datagram Datagram, now time.Time) {
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -66,7 +66,7 @@
 // return at once.
 type Admission interface {
 	// Review returns the decision about a packet, or in place of it a refusal.
-	Review(segment steer.Segment, decision steer.Decision) steer.Decision
+	Review(segment steer.Segment, decision steer.Decision, now time.Time) steer.Decision
 }
 
 // Forwarder is the packet path of one balancer.
@@ -120,6 +120,9 @@
 // Counts returns what became of the datagrams that were sent.
 func (forwarder *Forwarder) Counts() egress.Counts { return forwarder.egress.Counts() }
 
+// LinkIdle tells whether no datagram waits for the link.
+func (forwarder *Forwarder) LinkIdle() bool { return forwarder.egress.Idle() }
+
 // ObserveWaits makes observe be told how long each datagram waited for the link
 // that did. It is set before the first packet.
 func (forwarder *Forwarder) ObserveWaits(observe func(waited time.Duration)) {
@@ -166,7 +169,7 @@
 	if segment.Opening && segment.Attempt > 0 {
 		segment.Tried, segment.Seen = forwarder.requests.Tried(segment)
 	}
-	decision := forwarder.admission.Review(segment, forwarder.table.Decide(segment, now))
+	decision := forwarder.admission.Review(segment, forwarder.table.Decide(segment, now), now)
 	if decision.Action == steer.Drop && worthParking(decision.Reason) {
 		forwarder.parking.put(packet, segment, now)
 	}
--- a/internal/direct/forwarder/forwarder_test.go
+++ b/internal/direct/forwarder/forwarder_test.go
@@ -141,7 +141,7 @@
 type link struct{ full atomic.Bool }
 
 // Review implements Admission.
-func (link *link) Review(segment steer.Segment, decision steer.Decision) steer.Decision {
+func (link *link) Review(segment steer.Segment, decision steer.Decision, _ time.Time) steer.Decision {
 	if link.full.Load() && segment.Opening && !segment.Seen {
 		return decision.RefuseForLink(time.Second)
 	}
--- a/internal/direct/requests/content.go
+++ b/internal/direct/requests/content.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"merlinpaddle/internal/direct/steer"
 )
@@ -56,6 +57,8 @@
 	// Brought is the number of bytes that came. Complete tells that no more come.
 	Brought  int
 	Complete bool
+	// LastAt is when its latest packet, the opening one included, was sent on.
+	LastAt time.Time
 }
 
 // EachOpen calls visit with each open request, in no order. Visit must return at
@@ -65,7 +68,9 @@
 		shard := &watcher.shards[index]
 		shard.lock.Lock()
 		for key, open := range shard.requests {
-			visit(Progress{Route: key.service, Brought: int(open.content.brought()), Complete: open.content.complete})
+			visit(Progress{
+				Route: key.service, Brought: int(open.content.brought()), Complete: open.content.complete, LastAt: open.lastAt(),
+			})
 		}
 		shard.lock.Unlock()
 	}
--- a/internal/direct/requests/share.go
+++ b/internal/direct/requests/share.go
@@ -2,12 +2,16 @@
 
 import "sync"
 
-// shareWeight is the weight of one more case in a share.
-const shareWeight = 0.05
+// usualWeight is the weight of one more case in a share that states none.
+const usualWeight = 0.05
 
 // Share is the share of late cases in which something held, an exponential
 // average that begins at zero. It is safe for many goroutines.
 type Share struct {
+	// Weight is the weight of one more case; zero for usualWeight. It is set before the
+	// first case.
+	Weight float64
+
 	lock  sync.Mutex
 	value float64
 }
@@ -16,9 +20,13 @@
 func (share *Share) Note(holds bool) {
 	share.lock.Lock()
 	defer share.lock.Unlock()
-	share.value *= 1 - shareWeight
+	weight := share.Weight
+	if weight == 0 {
+		weight = usualWeight
+	}
+	share.value *= 1 - weight
 	if holds {
-		share.value += shareWeight
+		share.value += weight
 	}
 }
 
--- a/internal/direct/requests/watcher.go
+++ b/internal/direct/requests/watcher.go
@@ -109,6 +109,14 @@
 	seenAt time.Time
 }
 
+// lastAt returns when the latest packet of the request was sent on.
+func (open *request) lastAt() time.Time {
+	if open.seenAt.After(open.since) {
+		return open.seenAt
+	}
+	return open.since
+}
+
 // overdue tells whether the request has been open for too long, and how it ends
 // then.
 func (open *request) overdue(now time.Time) (Ending, bool) {
--- a/internal/direct/requests/watcher_test.go
+++ b/internal/direct/requests/watcher_test.go
@@ -280,12 +280,12 @@
 		return found[0]
 	}
 	route := opens(1).Service
-	require.Equal(t, Progress{Route: route, Brought: LongFrom + full}, progress())
+	require.Equal(t, Progress{Route: route, Brought: LongFrom + full, LastAt: now}, progress())
 	send(1+LongFrom, full)
-	require.Equal(t, Progress{Route: route, Brought: LongFrom + full}, progress(), "data that is sent again is no further data")
+	require.Equal(t, Progress{Route: route, Brought: LongFrom + full, LastAt: now}, progress(), "data that is sent again is no further data")
 	send(1+LongFrom+full, 70)
 	require.Equal(t, 1, listener.open[7], "the last packet is not full")
-	require.Equal(t, Progress{Route: route, Brought: LongFrom + full + 70, Complete: true}, progress())
+	require.Equal(t, Progress{Route: route, Brought: LongFrom + full + 70, Complete: true, LastAt: now}, progress())
 	now = now.Add(20 * time.Millisecond)
 	watcher.Note(acknowledges(1, LongFrom+full+71, 50).segment, targetOf(7), now)
 	require.Zero(t, listener.open[7])
--- a/internal/direct/transfer/admission.go
+++ b/internal/direct/transfer/admission.go
@@ -37,15 +37,22 @@
 	options Options
 	sizes   *Sizes
 	open    Open
+	// idle tells whether nothing waits in front of the link.
+	idle func() bool
 	// refused is the share of long requests that were refused lately.
 	refused requests.Share
 }
 
 // New returns an admission that goes by the requests that open visits.
 func New(options Options, sizes *Sizes, open Open) *Admission {
-	return &Admission{options: options, sizes: sizes, open: open}
+	return &Admission{options: options, sizes: sizes, open: open, idle: func() bool { return false },
+		refused: requests.Share{Weight: refusedWeight}}
 }
 
+// ObserveLink makes the admission ask idle whether nothing waits in front of the link. It
+// is set before the first packet.
+func (admission *Admission) ObserveLink(idle func() bool) { admission.idle = idle }
+
 // Verdict is the decision about one new flow.
 type Verdict struct {
 	// Refused tells that the flow is to be refused.
@@ -60,12 +67,12 @@
 // Review returns the decision about a packet, or a refusal in place of one that
 // gives a new flow a target. A copy of an opening packet that was sent on is not
 // refused, because the answer to that one may be under way.
-func (admission *Admission) Review(segment steer.Segment, decision steer.Decision) steer.Decision {
+func (admission *Admission) Review(segment steer.Segment, decision steer.Decision, now time.Time) steer.Decision {
 	opens := decision.Action == steer.Forward && decision.Reason == steer.ReasonChosen
 	if !opens || segment.Seen {
 		return decision
 	}
-	verdict := admission.Consider(segment.Service, decision.Objective)
+	verdict := admission.Consider(segment.Service, decision.Objective, now)
 	if !verdict.Refused {
 		return decision
 	}
@@ -74,44 +81,64 @@
 
 // Consider decides about a new flow of a route, whose objective is zero when it
 // has none.
-func (admission *Admission) Consider(route netip.AddrPort, objective time.Duration) Verdict {
+func (admission *Admission) Consider(route netip.AddrPort, objective time.Duration, now time.Time) Verdict {
 	verdict := Verdict{Size: admission.sizes.Typical(route)}
 	if admission.options.BytesPerSecond == 0 || admission.options.Share == 0 || objective == 0 || verdict.Size <= requests.LongFrom {
 		return verdict
 	}
-	underWay := min(verdict.Size, senderWindow)
+	idle := admission.idle()
 	admission.open(func(progress requests.Progress) {
-		remaining := admission.remaining(progress)
-		verdict.Ahead += remaining
-		underWay += min(remaining, senderWindow)
+		if idle && now.Sub(progress.LastAt) > quietAfter {
+			return
+		}
+		verdict.Ahead += admission.remaining(progress)
 	})
 	verdict.Expected = admission.carries(verdict.Ahead + verdict.Size)
-	late := float64(verdict.Expected) > admission.options.Share*float64(objective)
-	crowded := admission.carries(underWay) > repeatAfter && admission.refused.Value() > refusedOften
-	verdict.Refused = verdict.Ahead > 0 && (late || crowded)
+	wait := admission.carries(verdict.Ahead)
+	verdict.Refused = wait > 0 && wait > admission.allowedWait(verdict.Size, objective)
 	admission.refused.Note(verdict.Refused)
 	return verdict
 }
 
+// allowedWait returns how long a long request of a size may wait for others: what its
+// objective allows while few are refused, and less the more are, down to roomFrom. A
+// caller that is refused finds another balancer as long as most have room. Where most
+// are full, a link that takes several at once carries much of their data twice, makes
+// all of them late, and refuses the next ones all the same.
+func (admission *Admission) allowedWait(size int, objective time.Duration) time.Duration {
+	most := time.Duration(admission.options.Share*float64(objective)) - admission.carries(size)
+	patience := (refusedMost - admission.refused.Value()) / (refusedMost - refusedFew)
+	patience = min(max(patience, 0), 1)
+	return max(time.Duration(patience*float64(most)), min(roomFrom, most))
+}
+
 // carries returns how long the link takes for a number of bytes.
 func (admission *Admission) carries(bytes int) time.Duration {
 	return time.Duration(float64(bytes) / admission.options.BytesPerSecond * float64(time.Second))
 }
 
+// quietAfter is how long after its latest packet a long request counts as one that uses
+// the link no more, if nothing waits in front of it: its sender has repeated by then what
+// was not acknowledged, so that its caller is gone, or its packets take another way
+// because the routers changed their mind. Counting it on refused uploads on an idle link
+// for up to two seconds.
+const quietAfter = 300 * time.Millisecond
+
 const (
-	// senderWindow is the number of bytes that a sender has under way at most: 16
-	// full packets (docs/incidents/narrow-links.md).
-	senderWindow = 16 * 1240
-	// repeatAfter is how long a sender waits at first before it repeats what was
-	// not acknowledged. When the windows of all long requests take longer than
-	// that, the link carries everything twice.
-	repeatAfter = 200 * time.Millisecond
-	// refusedOften is the share of refused long requests above which the links of
-	// other balancers count as full too, because routers spread flows evenly. Below,
-	// callers find another balancer, and a link takes what its objective allows.
-	// Above, a link that carries data twice serves nobody: it takes no more than it
-	// can carry without.
-	refusedOften = 0.5
+	// roomFrom is the time in which the link has carried all long requests that are
+	// open, from which on it always has room for the next one: about the window of one
+	// sender, 16 full packets, on a link of 2 Mbit/s, so that the link does not stand idle
+	// until the next request's data comes.
+	roomFrom = 80 * time.Millisecond
+	// refusedWeight is the weight of one more long request in the share of refused ones.
+	// A balancer on a full link hears of some five a second, so that the share follows
+	// the load within two seconds.
+	refusedWeight = 0.15
+	// refusedFew is the share of long requests that were refused lately up to which a link
+	// takes what their objective allows, and refusedMost that from which on it takes the
+	// next one only when it has room.
+	refusedFew  = 0.2
+	refusedMost = 0.4
 )
 
 // leastRemaining is what a long request is assumed to bring still when it has
--- a/internal/direct/transfer/admission_test.go
+++ b/internal/direct/transfer/admission_test.go
@@ -17,6 +17,9 @@
 	other   = netip.MustParseAddrPort("198.18.0.3:443")
 )
 
+// start is when the open requests of the tests sent their latest packet.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // rate is what the link of the tests carries, in bytes a second.
 const rate = 100_000
 
@@ -34,6 +37,9 @@
 func visiting(open ...requests.Progress) Open {
 	return func(visit func(progress requests.Progress)) {
 		for _, progress := range open {
+			if progress.LastAt.IsZero() {
+				progress.LastAt = start
+			}
 			visit(progress)
 		}
 	}
@@ -70,7 +76,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			admission := New(Options{BytesPerSecond: rate, Share: 0.5}, learned(), visiting(test.open...))
-			verdict := admission.Consider(test.route, test.objective)
+			verdict := admission.Consider(test.route, test.objective, start)
 			require.Equal(t, test.refused, verdict.Refused)
 			require.Equal(t, test.ahead, verdict.Ahead)
 		})
@@ -79,7 +85,7 @@
 
 func TestConsiderTellsWhatDecided(t *testing.T) {
 	admission := New(Options{BytesPerSecond: rate, Share: 0.5}, learned(), visiting(requests.Progress{Route: uploads, Brought: 10_000}))
-	require.Equal(t, Verdict{Size: 40_000, Ahead: 30_000, Expected: 700 * time.Millisecond}, admission.Consider(uploads, objective))
+	require.Equal(t, Verdict{Size: 40_000, Ahead: 30_000, Expected: 700 * time.Millisecond}, admission.Consider(uploads, objective, start))
 }
 
 // TestReviewRefusesNewFlowsAlone: packets of open flows, copies of opening packets
@@ -90,23 +96,71 @@
 	chosen := steer.Decision{Action: steer.Forward, Reason: steer.ReasonChosen, Token: 7, Objective: objective, Revision: 5, Version: 3}
 	opening := steer.Segment{Service: uploads, Opening: true}
 	refused := steer.Decision{Action: steer.Reset, Reason: steer.ReasonLinkFull, Expected: 1200 * time.Millisecond, Revision: 5, Version: 3}
-	require.Equal(t, refused, admission.Review(opening, chosen))
+	require.Equal(t, refused, admission.Review(opening, chosen, start))
 	repeated := opening
 	repeated.Attempt = 1
-	require.Equal(t, refused, admission.Review(repeated, chosen), "its former copy was lost in front of the link")
+	require.Equal(t, refused, admission.Review(repeated, chosen, start), "its former copy was lost in front of the link")
 	repeated.Seen = true
-	require.Equal(t, chosen, admission.Review(repeated, chosen), "its former copy was sent on")
+	require.Equal(t, chosen, admission.Review(repeated, chosen, start), "its former copy was sent on")
 	owner := steer.Decision{Action: steer.Forward, Reason: steer.ReasonOwner, Token: 7}
-	require.Equal(t, owner, admission.Review(steer.Segment{Service: uploads, Token: 7}, owner))
+	require.Equal(t, owner, admission.Review(steer.Segment{Service: uploads, Token: 7}, owner, start))
 	unknown := steer.Decision{Action: steer.Reset, Reason: steer.ReasonNoRoute}
-	require.Equal(t, unknown, admission.Review(opening, unknown))
+	require.Equal(t, unknown, admission.Review(opening, unknown, start))
 }
 
 func TestAdmissionSwitchedOff(t *testing.T) {
 	full := visiting(requests.Progress{Route: uploads}, requests.Progress{Route: uploads}, requests.Progress{Route: uploads})
-	require.True(t, New(Options{BytesPerSecond: rate, Share: 0.5}, learned(), full).Consider(uploads, objective).Refused)
-	require.False(t, New(Options{BytesPerSecond: rate}, learned(), full).Consider(uploads, objective).Refused)
-	require.False(t, New(Options{Share: 0.5}, learned(), full).Consider(uploads, objective).Refused, "a link without a bound")
+	require.True(t, New(Options{BytesPerSecond: rate, Share: 0.5}, learned(), full).Consider(uploads, objective, start).Refused)
+	require.False(t, New(Options{BytesPerSecond: rate}, learned(), full).Consider(uploads, objective, start).Refused)
+	require.False(t, New(Options{Share: 0.5}, learned(), full).Consider(uploads, objective, start).Refused, "a link without a bound")
+}
+
+// TestMoreAreRefusedWhereMostAre: with few refusals a link takes what the objective
+// allows, with many only what it has room for. A free link takes any.
+func TestMoreAreRefusedWhereMostAre(t *testing.T) {
+	begun := requests.Progress{Route: uploads}
+	nearlyDone := requests.Progress{Route: uploads, Brought: 40_000 - int(rate*roomFrom.Seconds())}
+	nearlyDone.Brought = min(nearlyDone.Brought, 40_000-leastRemaining)
+	var open []requests.Progress
+	admission := New(Options{BytesPerSecond: 2 * rate, Share: 0.5}, learned(), func(visit func(requests.Progress)) { visiting(open...)(visit) })
+	refused := func(now ...requests.Progress) bool {
+		open = now
+		return admission.Consider(uploads, objective, start).Refused
+	}
+	require.False(t, refused(begun, begun))
+	for range 10 {
+		require.True(t, refused(begun, begun, begun, begun, begun), "more than the objective allows")
+	}
+	require.True(t, refused(begun), "others are refused, too, so that one is enough")
+	require.False(t, refused(nearlyDone), "the link has room")
+	require.False(t, refused(), "a free link")
+	for range 20 {
+		refused()
+	}
+	require.False(t, refused(begun, begun), "few are refused again")
+}
+
+// TestRequestsThatUseTheLinkNoMore: a request that is quiet counts while data waits in
+// front of the link, perhaps its own, and no more once none does.
+func TestRequestsThatUseTheLinkNoMore(t *testing.T) {
+	cases := []struct {
+		name    string
+		idle    bool
+		quiet   time.Duration
+		refused bool
+	}{
+		{"busy link", false, 2 * quietAfter, true},
+		{"idle link, its data may be on the way", true, quietAfter, true},
+		{"idle link, and quiet for long", true, quietAfter + time.Millisecond, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			begun := requests.Progress{Route: uploads}
+			admission := New(Options{BytesPerSecond: rate, Share: 0.5}, learned(), visiting(begun, begun))
+			admission.ObserveLink(func() bool { return test.idle })
+			require.Equal(t, test.refused, admission.Consider(uploads, objective, start.Add(test.quiet)).Refused)
+		})
+	}
 }
 
 func TestSizesAreLearnedByRoute(t *testing.T) {
@@ -153,17 +207,16 @@
 func BenchmarkConsider(b *testing.B) {
 	const openRequests = 256
 	watcher := requests.NewWatcher()
-	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for port := range uint16(openRequests) {
 		segment := steer.Segment{
 			Caller:  netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), port+1024),
 			Service: calls, HasData: true, Length: 900, Sequence: 1,
 		}
-		watcher.Note(segment, requests.Target{Token: 7}, begin)
+		watcher.Note(segment, requests.Target{Token: 7}, start)
 	}
 	admission := New(Options{BytesPerSecond: rate, Share: 0.5}, learned(), watcher.EachOpen)
 	b.ReportAllocs()
 	for b.Loop() {
-		admission.Consider(uploads, objective)
+		admission.Consider(uploads, objective, start)
 	}
 }
--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -95,6 +95,7 @@
 	balancer.admission = balancer.newAdmission()
 	if balancer.world.options.LinkRate > 0 {
 		balancer.link = newLink(balancer.world)
+		balancer.admission.ObserveLink(balancer.link.egress.Idle)
 	}
 	sharing := load.Options{
 		Interval: loadInterval, Neighbours: subscriber.Neighbours,
@@ -147,7 +148,7 @@
 	if segment.Opening && segment.Attempt > 0 {
 		segment.Tried, segment.Seen = balancer.watcher.Tried(segment)
 	}
-	decision := balancer.admission.Review(segment, world.options.Parts.Decide(balancer.table, segment, now))
+	decision := balancer.admission.Review(segment, world.options.Parts.Decide(balancer.table, segment, now), now)
 	world.checks.decided(balancer, packet, decision)
 	if decision.Suspect != 0 {
 		balancer.suspects.Note(decision.Suspect)
