Let operators wait until balancers know that a zone is emptied

Balancers that follow others are not counted: they hear within the same second. Benchmarks and the allocation test of the choice have a case with a third of the targets evacuated and a third cold.

--- a/internal/direct/admin/admin_test.go
+++ b/internal/direct/admin/admin_test.go
@@ -15,6 +15,7 @@
 	"merlinpaddle/internal/direct/declared"
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/faults"
+	"merlinpaddle/internal/model"
 )
 
 // holder is a stand-in for a member's calls.
@@ -58,6 +59,9 @@
 	return []directory.Evacuation{{Zone: holder.evacuated, Since: 7}}, nil
 }
 
+// Behind implements Followers.
+func (holder *holder) Behind(revision model.Revision) int { return int(revision) - 4 }
+
 func example(version uint64) *declared.Configuration {
 	return &declared.Configuration{
 		Version: version,
@@ -81,7 +85,7 @@
 	}}})
 	require.NoError(t, err)
 	state.Apply(1, time.Time{}, data)
-	server := httptest.NewServer(Handler(holder, state, zap.NewNop()))
+	server := httptest.NewServer(Handler(holder, state, holder, zap.NewNop()))
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
 }
@@ -170,7 +174,7 @@
 	require.NoError(t, client.Evacuate(ctx, "a", false))
 	listed, err := client.Evacuations(ctx)
 	require.NoError(t, err)
-	require.Equal(t, []Evacuation{{Zone: "a", Since: 7, Targets: 1}}, listed)
+	require.Equal(t, []Evacuation{{Zone: "a", Since: 7, Targets: 1, Behind: 3}}, listed)
 	require.NoError(t, client.Evacuate(ctx, "a", true))
 	listed, err = client.Evacuations(ctx)
 	require.NoError(t, err)
--- a/internal/direct/admin/server.go
+++ b/internal/direct/admin/server.go
@@ -11,8 +11,10 @@
 
 	"merlinpaddle/internal/direct/declared"
 	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/registrar"
 	"merlinpaddle/internal/faults"
+	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/process"
 	"merlinpaddle/internal/settings"
 )
@@ -47,6 +49,16 @@
 	Since uint64 `json:"since"`
 	// Targets is the number of ready targets in the zone, which get no new flows.
 	Targets int `json:"targets"`
+	// Behind is the number of balancers that follow this member and did not know of the
+	// order yet when it heard of them last, a second ago at the most.
+	Behind int `json:"behind"`
+}
+
+// Followers tells how far the balancers that follow a member are; feed.Publisher
+// implements it.
+type Followers interface {
+	// Behind returns how many of them did not have a revision yet.
+	Behind(revision model.Revision) int
 }
 
 // Target is what operators see of one incarnation of a target.
@@ -67,8 +79,8 @@
 }
 
 // Handler serves the interface of one member.
-func Handler(declarations Declarations, state *directory.Directory, logger *zap.Logger) http.Handler {
-	server := &server{declarations: declarations, directory: state, logger: logger}
+func Handler(declarations Declarations, state *directory.Directory, followers Followers, logger *zap.Logger) http.Handler {
+	server := &server{declarations: declarations, directory: state, followers: followers, logger: logger}
 	router := chi.NewRouter()
 	router.Get(pathConfiguration, server.getConfiguration)
 	router.Put(pathConfiguration, server.putConfiguration)
@@ -82,6 +94,7 @@
 type server struct {
 	declarations Declarations
 	directory    *directory.Directory
+	followers    Followers
 	logger       *zap.Logger
 }
 
@@ -145,6 +158,7 @@
 	for _, evacuation := range held {
 		evacuations = append(evacuations, Evacuation{
 			Zone: evacuation.Zone, Since: uint64(evacuation.Since), Targets: ready[evacuation.Zone],
+			Behind: server.followers.Behind(evacuation.Since),
 		})
 	}
 	server.answer(writer, evacuations)
@@ -184,11 +198,12 @@
 }
 
 // Serve runs the interface on direct.admin, if the settings name it.
-func Serve(lifecycle fx.Lifecycle, tasks *process.Tasks, chosen settings.Settings, calls *registrar.Calls, state *directory.Directory, logger *zap.Logger) {
+func Serve(lifecycle fx.Lifecycle, tasks *process.Tasks, chosen settings.Settings, calls *registrar.Calls, state *directory.Directory,
+	publisher *feed.Publisher, logger *zap.Logger) {
 	if chosen.Direct.Admin == "" {
 		return
 	}
 	process.Serve(lifecycle, tasks, process.Endpoint{
-		Name: "admin", Field: "direct.admin", Address: chosen.Direct.Admin, Handler: Handler(calls, state, logger.Named("admin")),
+		Name: "admin", Field: "direct.admin", Address: chosen.Direct.Admin, Handler: Handler(calls, state, publisher, logger.Named("admin")),
 	})
 }
--- a/internal/direct/feed/publisher.go
+++ b/internal/direct/feed/publisher.go
@@ -49,6 +49,8 @@
 
 // follower is one balancer that follows this node.
 type follower struct {
+	// have is the revision that the follower named last, at its latest subscription.
+	have    model.Revision
 	heardAt time.Time
 	sentAt  time.Time
 	sent    model.Revision
@@ -78,6 +80,8 @@
 	peers peerBook
 	// shownPeers is peers for other goroutines.
 	shownPeers atomic.Pointer[[]Peer]
+	// shownRevisions are the revisions that the followers have, for other goroutines.
+	shownRevisions atomic.Pointer[[]model.Revision]
 	// toldAt is when the other members were last told of the followers.
 	toldAt time.Time
 	// toldFollowers is the number of followers then.
@@ -129,12 +133,38 @@
 	return nil
 }
 
+// Behind returns how many of the balancers that follow this node did not have a revision
+// yet when they subscribed last, a second ago at the most. It may be called from any
+// goroutine.
+func (publisher *Publisher) Behind(revision model.Revision) int {
+	shown := publisher.shownRevisions.Load()
+	if shown == nil {
+		return 0
+	}
+	behind := 0
+	for _, have := range *shown {
+		if have < revision {
+			behind++
+		}
+	}
+	return behind
+}
+
+func (publisher *Publisher) showRevisions() {
+	revisions := make([]model.Revision, 0, len(publisher.followers))
+	for _, known := range publisher.followers {
+		revisions = append(revisions, known.have)
+	}
+	publisher.shownRevisions.Store(&revisions)
+}
+
 // Reconcile implements board.Controller.
 func (publisher *Publisher) Reconcile(now time.Time) {
 	publisher.takeSubscriptions(now)
 	publisher.takeOthers(now)
 	publisher.dropSilent(now)
 	publisher.shownPeers.Store(publisher.peers.list())
+	publisher.showRevisions()
 	publisher.tellMembers(now)
 	batch := batch{
 		prepared: &publisher.prepared,
@@ -242,7 +272,7 @@
 		if asked.Serves {
 			publisher.peers.hear(heard, now)
 		}
-		*known = follower{heardAt: now, sent: asked.Have, peer: heard, serves: asked.Serves}
+		*known = follower{heardAt: now, have: asked.Have, sent: asked.Have, peer: heard, serves: asked.Serves}
 	}
 }
 
--- a/internal/direct/steer/steer_test.go
+++ b/internal/direct/steer/steer_test.go
@@ -290,12 +290,31 @@
 
 func TestDecisionsAllocateNothing(t *testing.T) {
 	table := loadedTable(t, 14, 3, loads{1: 3, 2: 5})
+	emptied := tableOf(t, thirds(14))
+	require.True(t, emptied.Apply(ordered(10, "a"), start))
 	require.Zero(t, testing.AllocsPerRun(200, func() {
 		_ = table.Decide(opening(77), start)
+		_ = emptied.Decide(opening(77), start)
 		_ = table.Decide(Segment{Caller: opening(1).Caller, Service: feedRoute, Token: 3}, start)
 	}))
 }
 
+// thirds returns a first table of a service whose cold targets are bounded: a third of
+// its targets is cold, a third in zone a.
+func thirds(count int) directory.Changes {
+	changes := whole(count)
+	changes.ColdLimits = &directory.ColdLimits{PerSecond: map[string]float64{"feed": coldRate}}
+	for place := range changes.Targets {
+		switch place % 3 {
+		case 0:
+			changes.Targets[place].Zone = "a"
+		case 1:
+			changes.Targets[place].Cold = time.Second
+		}
+	}
+	return changes
+}
+
 // BenchmarkDecide compares a decision for a direct service with the chain of a
 // bucket, which services with agents use.
 func BenchmarkDecide(b *testing.B) {
@@ -314,6 +333,14 @@
 				_ = loaded.Decide(opening(index%60000), start)
 			}
 		})
+		emptied := tableOf(b, thirds(count))
+		require.True(b, emptied.Apply(ordered(10, "a"), start))
+		b.Run(fmt.Sprintf("open, a third evacuated, a third cold/targets=%d", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for index := 0; b.Loop(); index++ {
+				_ = emptied.Decide(opening(index%60000), start)
+			}
+		})
 		b.Run(fmt.Sprintf("owner/targets=%d", count), func(b *testing.B) {
 			b.ReportAllocs()
 			segment := Segment{Caller: opening(1).Caller, Service: feedRoute, Token: 3}
--- a/internal/merlinctl/direct.go
+++ b/internal/merlinctl/direct.go
@@ -45,12 +45,14 @@
 	command.PersistentFlags().StringSliceVar(&direct.members, "member", nil, `admin addresses of members, tried in turn ("HOST:PORT")`)
 	apply := &cobra.Command{Use: "apply FILE", Short: "Declare the configuration in FILE", Args: cobra.ExactArgs(1), RunE: direct.run(direct.apply)}
 	apply.Flags().BoolVar(&direct.wait, "wait", false, "wait until a confirmed read returns the version")
+	evacuate := &cobra.Command{Use: "evacuate ZONE", Short: "Send no new flows to the targets of ZONE; open flows go on", Args: cobra.ExactArgs(1), RunE: direct.run(direct.evacuate)}
+	evacuate.Flags().BoolVar(&direct.wait, "wait", false, "wait until the balancers that follow the members named by --member know of the order")
 	command.AddCommand(
 		&cobra.Command{Use: "get", Short: "Print the declared configuration as YAML", Args: cobra.NoArgs, RunE: direct.run(direct.get)},
 		&cobra.Command{Use: "diff FILE", Short: "Print what FILE would change", Args: cobra.ExactArgs(1), RunE: direct.run(direct.diff)},
 		apply,
 		&cobra.Command{Use: "zones", Short: "List the zones that are emptied by order", Args: cobra.NoArgs, RunE: direct.run(direct.zones)},
-		&cobra.Command{Use: "evacuate ZONE", Short: "Send no new flows to the targets of ZONE; open flows go on", Args: cobra.ExactArgs(1), RunE: direct.run(direct.evacuate)},
+		evacuate,
 		&cobra.Command{Use: "restore ZONE", Short: "Take ZONE back into use", Args: cobra.ExactArgs(1), RunE: direct.run(direct.restore)},
 		&cobra.Command{Use: "targets", Short: "List the targets that a member holds", Args: cobra.NoArgs, RunE: direct.run(direct.targets)},
 	)
@@ -164,9 +166,9 @@
 	if err != nil {
 		return err
 	}
-	printer := newPrinter(direct.tool.output, "ZONE", "EMPTIED SINCE", "READY TARGETS")
+	printer := newPrinter(direct.tool.output, "ZONE", "EMPTIED SINCE", "READY TARGETS", "BALANCERS BEHIND")
 	for _, evacuation := range evacuations {
-		printer.row(evacuation.Zone, "revision "+strconv.FormatUint(evacuation.Since, 10), strconv.Itoa(evacuation.Targets))
+		printer.row(evacuation.Zone, "revision "+strconv.FormatUint(evacuation.Since, 10), strconv.Itoa(evacuation.Targets), strconv.Itoa(evacuation.Behind))
 	}
 	return printer.flush()
 }
@@ -176,9 +178,48 @@
 		return err
 	}
 	fmt.Fprintf(direct.tool.output, "zone %s is emptied: its targets get no new flows\n", arguments[0])
+	if direct.wait {
+		return direct.waitForBalancers(ctx, arguments[0])
+	}
 	return nil
 }
 
+// waitForBalancers asks each member until none is followed by a balancer that does not
+// know that the zone is emptied.
+func (direct *directTool) waitForBalancers(ctx context.Context, zone string) error {
+	for {
+		behind, err := direct.balancersBehind(ctx, zone)
+		if err == nil && behind == 0 {
+			fmt.Fprintf(direct.tool.output, "all balancers that follow the named members know of it\n")
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return faults.New(faults.CodeNotInForce, "the wait ended with %d balancers behind (last error: %v): %v", behind, err, ctx.Err())
+		case <-time.After(inForcePause):
+		}
+	}
+}
+
+// balancersBehind adds up what the members tell. A member that does not answer is an
+// error: balancers may follow it.
+func (direct *directTool) balancersBehind(ctx context.Context, zone string) (int, error) {
+	behind := 0
+	for _, member := range direct.members {
+		client := &admin.Client{Members: []string{member}}
+		evacuations, err := client.Evacuations(ctx)
+		if err != nil {
+			return behind, err
+		}
+		for _, evacuation := range evacuations {
+			if evacuation.Zone == zone {
+				behind += evacuation.Behind
+			}
+		}
+	}
+	return behind, nil
+}
+
 func (direct *directTool) restore(ctx context.Context, client *admin.Client, arguments []string) error {
 	if err := client.Evacuate(ctx, arguments[0], true); err != nil {
 		return err
--- a/internal/merlinctl/direct_test.go
+++ b/internal/merlinctl/direct_test.go
@@ -16,6 +16,7 @@
 	"merlinpaddle/internal/direct/declared"
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/faults"
+	"merlinpaddle/internal/model"
 )
 
 // declarations is a stand-in for a member of direct services.
@@ -24,6 +25,9 @@
 	err  error
 	// evacuated is the zone that is emptied, or empty.
 	evacuated string
+	// behind is the number of balancers that do not know of it yet; each question finds
+	// one less.
+	behind int
 }
 
 // Declare implements admin.Declarations.
@@ -59,6 +63,13 @@
 	return []directory.Evacuation{{Zone: declarations.evacuated, Since: 12}}, declarations.err
 }
 
+// Behind implements admin.Followers.
+func (declarations *declarations) Behind(model.Revision) int {
+	behind := declarations.behind
+	declarations.behind = max(behind-1, 0)
+	return behind
+}
+
 const directFirst = `
 version: 7
 services:
@@ -81,7 +92,7 @@
 // runDirect runs merlinctl direct against a stand-in member.
 func runDirect(t *testing.T, member *declarations, input string, arguments ...string) outcome {
 	t.Helper()
-	server := httptest.NewServer(admin.Handler(member, directory.New(), zap.NewNop()))
+	server := httptest.NewServer(admin.Handler(member, directory.New(), member, zap.NewNop()))
 	defer server.Close()
 	arguments = append([]string{"direct", "--member", server.Listener.Addr().String()}, arguments...)
 	var output, errors bytes.Buffer
@@ -125,6 +136,11 @@
 	require.Equal(t, ExitSuccess, ran.code, ran.errors)
 	require.Contains(t, ran.output, "zone-a")
 	require.Contains(t, ran.output, "revision 12")
+	member.behind = 2
+	ran = runDirect(t, member, "", "evacuate", "--wait", "zone-a")
+	require.Equal(t, ExitSuccess, ran.code, ran.errors)
+	require.Contains(t, ran.output, "all balancers")
+	require.Zero(t, member.behind, "it asked until none was behind")
 	ran = runDirect(t, member, "", "restore", "zone-a")
 	require.Equal(t, ExitSuccess, ran.code, ran.errors)
 	require.Empty(t, member.evacuated)
