End calls whose connection falls silent within their body

Cause: a server bounded the wait for a call's header and for the next call, and not that for a body. A connection that fell silent for good, without a reset, held a goroutine and its buffers for the life of the process.

What did not come in time is answered 503, not as invalid: the configuration may be proper, and a caller that hears 400 stops. The bound stays until the body was read whole, because the server reads the rest of it before it answers.

Tests: a caller that sends a part of its body and nothing more (before: no end).

--- a/internal/direct/admin/server.go
+++ b/internal/direct/admin/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
+	"os"
 
 	"github.com/go-chi/chi/v5"
 	"go.uber.org/fx"
@@ -108,13 +110,19 @@
 }
 
 func (server *server) putConfiguration(writer http.ResponseWriter, request *http.Request) {
+	done, err := process.BoundBody(writer)
+	if err != nil {
+		server.refuse(writer, faults.New(faults.CodeOutcomeUnknown, "%v", err))
+		return
+	}
 	var document Document
 	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maximumDocument))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&document); err != nil {
-		server.refuse(writer, faults.New(faults.ConfigurationInvalid, "%v", err))
+		server.refuse(writer, unreadableBody(err))
 		return
 	}
+	done()
 	stated, err := document.Configuration()
 	if err == nil {
 		err = server.declarations.Declare(request.Context(), stated)
@@ -126,6 +134,15 @@
 	server.answer(writer, struct{}{})
 }
 
+// unreadableBody is the error of a body that cannot be read. One that did not come in time
+// says nothing about what it holds.
+func unreadableBody(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return faults.New(faults.CodeOutcomeUnknown, "%v", err)
+	}
+	return faults.New(faults.ConfigurationInvalid, "%v", err)
+}
+
 func (server *server) getTargets(writer http.ResponseWriter, _ *http.Request) {
 	targets := []Target{}
 	for _, held := range server.directory.Targets() {
--- /dev/null
+++ b/internal/process/body_test.go
@@ -0,0 +1,47 @@
+package process
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestCallWhoseConnectionFallsSilentEnds: the caller sends a part of its body and nothing
+// more, and closes nothing.
+func TestCallWhoseConnectionFallsSilentEnds(t *testing.T) {
+	ended := make(chan error, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		done, err := BoundBody(writer)
+		if err == nil {
+			_, err = io.ReadAll(request.Body)
+			done()
+		}
+		ended <- err
+	}))
+	defer server.Close()
+	connection, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer connection.Close()
+	_, err = fmt.Fprint(connection, "PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nsome")
+	require.NoError(t, err)
+	select {
+	case err := <-ended:
+		require.Error(t, err)
+	case <-time.After(10 * bodyWithin):
+		t.Fatal("the call goes on")
+	}
+}
+
+// TestBoundEndsWithTheBody: a call may take longer than its body.
+func TestBoundEndsWithTheBody(t *testing.T) {
+	writer := httptest.NewRecorder()
+	done, err := BoundBody(writer)
+	require.NoError(t, err, "a writer without a connection")
+	done()
+}
