Set targets aside that answer with errors while their health is good

Change: callers acknowledge answers through a balancer, which shows when an answer began to arrive and how many bytes were acknowledged first. One that comes in less than half of the time, and with less than half of the bytes, that is usual for its route counts as hasty. Balancers tell hasty answers with those that never came; the leader sets a target aside when most of what it answered lately was hasty, at least six times in three seconds, and far more than at the middle target of its service. The bounds on how many are aside, and for how long, are those of targets that leave requests unanswered.

It takes 1 to 3 s until enough is seen.

A caller that comes back at once: its next packet has another port and mostly reaches another balancer.

--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -161,7 +161,9 @@
 }
 
 func provideWatcher(tracker *outcome.Tracker, book *load.Book) *requests.Watcher {
-	return requests.NewWatcher(tracker, book)
+	watcher := requests.NewWatcher(tracker, book)
+	watcher.ObserveAnswers(tracker)
+	return watcher
 }
 
 // provideAdmission makes the admission learn from the requests that the watcher
--- a/internal/direct/feed/feed.go
+++ b/internal/direct/feed/feed.go
@@ -117,11 +117,14 @@
 }
 
 // OutcomeCount has the requests that a balancer sent to a target, by whether
-// they were answered.
+// and how they were answered.
 type OutcomeCount struct {
 	ID         directory.TargetID
 	Answered   uint32
 	Unanswered uint32
+	// Hasty are those of the answered ones whose answers came far sooner, and were far
+	// shorter, than others of their routes.
+	Hasty uint32
 }
 
 // OutcomeReport tells the node that a balancer follows how requests ended lately.
--- a/internal/direct/outcome/judge.go
+++ b/internal/direct/outcome/judge.go
@@ -13,13 +13,8 @@
 	// windowSteps times stepLength is how far back outcomes count.
 	windowSteps = 6
 	stepLength  = 500 * time.Millisecond
-	// leastUnanswered is the number of unanswered requests in the window below
-	// which no target is set aside.
-	leastUnanswered = 4
-	// leastShare is the share of unanswered requests below which no target is
-	// set aside, and timesWorse how much worse than the middle one of its
-	// service a target must be: when most are bad, the cause is elsewhere.
-	leastShare = 0.1
+	// timesWorse is how much worse than the middle one of its service a target must
+	// be to be set aside: when most are bad, the cause is elsewhere.
 	timesWorse = 5
 	// mostShare is the largest share of a service's targets that are set aside
 	// at a time; one may be when there are smallPool or more.
@@ -35,16 +30,47 @@
 // counts are requests by their outcome.
 type counts struct {
 	answered, unanswered float64
+	// hasty are those of the answered ones that were answered as errors are.
+	hasty float64
 }
 
 func (sum *counts) add(other counts) {
 	sum.answered += other.answered
 	sum.unanswered += other.unanswered
+	sum.hasty += other.hasty
 }
 
-func (sum *counts) share() float64 {
+// Cause tells why a target is set aside.
+type Cause string
+
+// The causes.
+const (
+	CauseUnanswered Cause = "it leaves requests unanswered"
+	CauseHasty      Cause = "it answers far sooner and shorter than others, as with errors"
+)
+
+// fault is one way in which a target may be bad.
+type fault struct {
+	cause Cause
+	// bad returns the requests that show it.
+	bad func(sum counts) float64
+	// least is the number of them in the window, and leastShare their share of all
+	// requests, below which no target is set aside.
+	least, leastShare float64
+}
+
+// faults are the ways in which a target may be bad. Single answers are hasty by chance,
+// and some requests of any service are answered by errors, so that those must be most of
+// a target's answers.
+var faults = []fault{
+	{cause: CauseUnanswered, bad: func(sum counts) float64 { return sum.unanswered }, least: 4, leastShare: 0.1},
+	{cause: CauseHasty, bad: func(sum counts) float64 { return sum.hasty }, least: 6, leastShare: 0.5},
+}
+
+// share returns the part of the requests that show a fault.
+func (fault *fault) share(sum counts) float64 {
 	if total := sum.answered + sum.unanswered; total > 0 {
-		return sum.unanswered / total
+		return fault.bad(sum) / total
 	}
 	return 0
 }
@@ -105,7 +131,9 @@
 	for _, counted := range report.Counts {
 		known := judge.record(counted.ID)
 		known.forward(now)
-		known.steps[known.step%windowSteps].add(counts{answered: float64(counted.Answered), unanswered: float64(counted.Unanswered)})
+		known.steps[known.step%windowSteps].add(counts{
+			answered: float64(counted.Answered), unanswered: float64(counted.Unanswered), hasty: float64(counted.Hasty),
+		})
 	}
 }
 
@@ -114,6 +142,17 @@
 	// Aside are targets that get no new flows from now on, Back those that do
 	// again.
 	Aside, Back []directory.TargetID
+	// Causes has why each of Aside is set aside.
+	Causes map[directory.TargetID]Cause
+}
+
+// add takes in that a target is set aside.
+func (verdict *Verdict) add(bad suspect) {
+	if verdict.Causes == nil {
+		verdict.Causes = make(map[directory.TargetID]Cause)
+	}
+	verdict.Aside = append(verdict.Aside, bad.id)
+	verdict.Causes[bad.id] = bad.cause
 }
 
 // Decide returns what is to change among the targets.
@@ -147,9 +186,9 @@
 	}
 	suspects := judge.worse(targets, now)
 	room := roomFor(len(targets)) - aside
-	for _, id := range suspects[:min(max(room, 0), len(suspects))] {
-		judge.record(id).setAside(now)
-		verdict.Aside = append(verdict.Aside, id)
+	for _, one := range suspects[:min(max(room, 0), len(suspects))] {
+		judge.record(one.id).setAside(now)
+		verdict.add(one)
 	}
 }
 
@@ -185,15 +224,30 @@
 	known.until = now.Add(known.aside)
 }
 
-// suspect is a target with its share of unanswered requests.
+// suspect is a target with the share of its requests that show a fault.
 type suspect struct {
 	id    directory.TargetID
 	share float64
+	cause Cause
+}
+
+// worse returns the targets that are far worse than the middle one, each once, the worst
+// of each fault first.
+func (judge *Judge) worse(targets []*directory.Target, now time.Time) []suspect {
+	var found []suspect
+	for index := range faults {
+		for _, one := range judge.worseBy(&faults[index], targets, now) {
+			if !slices.ContainsFunc(found, func(other suspect) bool { return other.id == one.id }) {
+				found = append(found, one)
+			}
+		}
+	}
+	return found
 }
 
-// worse returns the targets that are far worse than the middle one, the worst
-// first.
-func (judge *Judge) worse(targets []*directory.Target, now time.Time) []directory.TargetID {
+// worseBy returns the targets that are far worse than the middle one by one fault, the
+// worst first.
+func (judge *Judge) worseBy(fault *fault, targets []*directory.Target, now time.Time) []suspect {
 	var shares []float64
 	var suspects []suspect
 	for _, target := range targets {
@@ -201,9 +255,10 @@
 			continue
 		}
 		own := judge.record(target.ID).sum(now)
-		shares = append(shares, own.share())
-		if own.unanswered >= leastUnanswered && own.share() >= leastShare {
-			suspects = append(suspects, suspect{id: target.ID, share: own.share()})
+		share := fault.share(own)
+		shares = append(shares, share)
+		if fault.bad(own) >= fault.least && share >= fault.leastShare {
+			suspects = append(suspects, suspect{id: target.ID, share: share, cause: fault.cause})
 		}
 	}
 	if len(suspects) == 0 {
@@ -215,11 +270,7 @@
 	slices.SortFunc(suspects, func(left, right suspect) int {
 		return cmp.Or(cmp.Compare(right.share, left.share), cmp.Compare(left.id, right.id))
 	})
-	ids := make([]directory.TargetID, 0, len(suspects))
-	for _, one := range suspects {
-		ids = append(ids, one.id)
-	}
-	return ids
+	return suspects
 }
 
 // recordsSlack is how many records of forgotten targets are left alone.
--- a/internal/direct/outcome/tracker.go
+++ b/internal/direct/outcome/tracker.go
@@ -1,6 +1,7 @@
-// Package outcome finds targets that take requests and do not answer them,
-// although their port and their health check are well, from what balancers see
-// of open flows.
+// Package outcome finds targets that take requests and do not answer them, or answer
+// them with errors, although their port and their health check are well, from what
+// balancers see of open flows. An error is no work: it comes far sooner than other
+// answers of its route, and is far shorter.
 //
 // Tracker counts the requests of a balancer's flows by how they ended (package
 // requests), and Judge, at the leader of the control group, sets targets aside
@@ -33,10 +34,14 @@
 
 	lock   sync.Mutex
 	counts map[directory.TargetID]feed.OutcomeCount
+	usual  usualAnswers
 	toldAt time.Time
 }
 
-var _ requests.Listener = (*Tracker)(nil)
+var (
+	_ requests.Listener       = (*Tracker)(nil)
+	_ requests.AnswerObserver = (*Tracker)(nil)
+)
 
 // NewTracker returns the controller. follows returns the node that gets the
 // reports.
@@ -45,6 +50,7 @@
 		mailbox: mailbox,
 		follows: follows,
 		counts:  make(map[directory.TargetID]feed.OutcomeCount),
+		usual:   make(usualAnswers),
 	}
 }
 
@@ -68,6 +74,19 @@
 	tracker.counts[target.ID] = counted
 }
 
+// Came implements requests.AnswerObserver.
+func (tracker *Tracker) Came(answer requests.Answer) {
+	tracker.lock.Lock()
+	defer tracker.lock.Unlock()
+	if !tracker.usual.learn(answer) {
+		return
+	}
+	counted := tracker.counts[answer.Target.ID]
+	counted.ID = answer.Target.ID
+	counted.Hasty++
+	tracker.counts[answer.Target.ID] = counted
+}
+
 // Receiving implements requests.Listener.
 func (tracker *Tracker) Receiving(requests.Target, bool) {}
 
@@ -94,13 +113,13 @@
 }
 
 // report returns the counts, and whether they say anything: while every request
-// is answered, nothing is told.
+// is answered as usual, nothing is told.
 func (tracker *Tracker) report() (feed.OutcomeReport, bool) {
 	var report feed.OutcomeReport
 	worth := false
 	for _, counted := range tracker.counts {
 		report.Counts = append(report.Counts, counted)
-		worth = worth || counted.Unanswered > 0
+		worth = worth || counted.Unanswered > 0 || counted.Hasty > 0
 	}
 	slices.SortFunc(report.Counts, func(left, right feed.OutcomeCount) int { return cmp.Compare(left.ID, right.ID) })
 	return report, worth
--- a/internal/direct/registrar/health_outcomes.go
+++ b/internal/direct/registrar/health_outcomes.go
@@ -27,7 +27,7 @@
 		return
 	}
 	for _, id := range verdict.Aside {
-		health.logger.Info("target set aside", zap.Uint64("target", uint64(id)), zap.String("cause", "it leaves requests unanswered"))
+		health.logger.Info("target set aside", zap.Uint64("target", uint64(id)), zap.String("cause", string(verdict.Causes[id])))
 	}
 	for _, id := range verdict.Back {
 		health.logger.Info("target gets new flows again", zap.Uint64("target", uint64(id)))
--- a/internal/direct/requests/watcher.go
+++ b/internal/direct/requests/watcher.go
@@ -141,11 +141,12 @@
 	listeners []Listener
 	shards    [shardCount]shard
 	sizes     SizeObserver
+	answers   AnswerObserver
 }
 
 // NewWatcher returns a watcher that tells the listeners.
 func NewWatcher(listeners ...Listener) *Watcher {
-	watcher := &Watcher{listeners: listeners, sizes: noSizes{}}
+	watcher := &Watcher{listeners: listeners, sizes: noSizes{}, answers: noAnswers{}}
 	for index := range watcher.shards {
 		watcher.shards[index].requests = make(map[flowKey]request)
 		watcher.shards[index].samples = make(map[flowKey]sample)
@@ -210,6 +211,9 @@
 	}
 	switch {
 	case known && open.asked && int32(segment.Acknowledgement-open.acknowledged) > 0:
+		watcher.answers.Came(Answer{
+			Target: target, Route: key.service, Took: now.Sub(open.since), Bytes: int(segment.Acknowledgement - open.acknowledged),
+		})
 		watcher.end(shard, key, open, Answered, now)
 		known = false
 	case known && (segment.Abort || segment.Closing):
--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -92,6 +92,7 @@
 	balancer.subscriber = subscriber
 	tracker := outcome.NewTracker(mailbox, subscriber.Following)
 	balancer.watcher = requests.NewWatcher(tracker, book)
+	balancer.watcher.ObserveAnswers(tracker)
 	balancer.admission = balancer.newAdmission()
 	if balancer.world.options.LinkRate > 0 {
 		balancer.link = newLink(balancer.world)
