Compare load with what takes new flows, also where targets are cold

A bounded service's cold targets counted for the capacity that load is compared with, although they take none of a balancer's new flows. The collection of a table's services is split into named steps. Explanations of the new reasons are tested.

--- a/internal/direct/steer/apply.go
+++ b/internal/direct/steer/apply.go
@@ -93,9 +93,8 @@
 	}
 }
 
-// rebuildServices collects the targets that may take new flows. Those of evacuated
-// zones count for nothing, neither for the choice nor for the capacity that load is
-// compared with; their services keep what they learned.
+// rebuildServices collects the targets that may take new flows, for each home that a
+// route has.
 func (table *Table) rebuildServices() {
 	services := make(map[serviceKey]*service)
 	homes := table.homes()
@@ -103,31 +102,43 @@
 		if target.State != directory.TargetReady {
 			continue
 		}
-		evacuation, evacuated := table.evacuated[target.Zone]
 		for _, home := range homes {
-			if !home.allows(target.region) {
-				continue
+			if home.allows(target.region) {
+				table.collect(services, serviceKey{name: target.Service, home: home}, target)
 			}
-			key := serviceKey{name: target.Service, home: home}
-			built := services[key]
-			if built == nil {
-				built = newService(table.services[key])
-				services[key] = built
-			}
-			if evacuated {
-				built.evacuatedSince = max(built.evacuatedSince, evacuation.Since)
-				continue
-			}
-			built.targets = append(built.targets, target)
-			built.capacity += target.Capacity
 		}
 	}
 	for key, built := range services {
 		built.restrictCold(table.coldness.perSecond[key.name], table.options.Self)
+		built.measure()
 	}
 	table.services = services
 }
 
+// collect adds a target to a service, which keeps what it learned. One in an evacuated
+// zone takes no new flows.
+func (table *Table) collect(services map[serviceKey]*service, key serviceKey, target *record) {
+	built := services[key]
+	if built == nil {
+		built = newService(table.services[key])
+		services[key] = built
+	}
+	if evacuation, evacuated := table.evacuated[target.Zone]; evacuated {
+		built.evacuatedSince = max(built.evacuatedSince, evacuation.Since)
+		return
+	}
+	built.targets = append(built.targets, target)
+}
+
+// measure adds up the capacity of the targets that take new flows, which is what load is
+// compared with.
+func (service *service) measure() {
+	service.capacity = 0
+	for _, target := range service.targets {
+		service.capacity += target.Capacity
+	}
+}
+
 // rankRoutes orders routes by their priorities.
 func (table *Table) rankRoutes() {
 	var priorities []int
--- a/internal/direct/steer/coldness_test.go
+++ b/internal/direct/steer/coldness_test.go
@@ -45,6 +45,8 @@
 
 func TestColdTargetsGetNothingWhileWarmOnesCanBearIt(t *testing.T) {
 	table := balancerOf(t, "b1", bounded(3, map[directory.Token]model.NodeName{2: "b1"}))
+	_, capacity := table.ServiceCapacity(2)
+	require.Equal(t, 4, capacity, "load is compared with what is in use")
 	require.ElementsMatch(t, []directory.Token{1, 3}, reached(t, table))
 	warm := entry(2, "feed", directory.TargetReady)
 	require.True(t, table.Apply(directory.Changes{From: 10, To: 11, Version: 3, Targets: []directory.TargetEntry{warm}}, start))
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -54,6 +54,18 @@
 		{"link full", []string{
 			line("01", "b1", "flow reset", `,"caller":"`+flow+`","route":"198.18.0.1:1","reason":"link_full","opening":true,"expected":"1.5s"`),
 		}, "long requests filled the balancer's own link, which would have carried its request after 1.5s only", 1},
+		{"zones emptied", []string{
+			line("01", "b1", "flow reset", `,"caller":"`+flow+`","route":"198.18.0.1:1","reason":"evacuated","opening":true,"evacuated_since":12`),
+		}, "in zones that operators emptied, the latest by the order at revision 12", 1},
+		{"zones emptied, old table", []string{
+			line("01", "b1", "packet dropped", `,"caller":"`+flow+`","route":"198.18.0.1:1","reason":"evacuated","opening":true,"evacuated_since":12`),
+		}, "the balancer's table was not confirmed lately, so it said nothing", 1},
+		{"cold targets alone", []string{
+			line("01", "b1", "flow reset", `,"caller":"`+flow+`","route":"198.18.0.1:1","reason":"cold","opening":true`),
+		}, "all targets of its service had just started or returned", 1},
+		{"no target in the route's regions", []string{
+			line("01", "b1", "flow reset", `,"caller":"`+flow+`","route":"198.18.0.1:1","reason":"no_home","opening":true`),
+		}, "the route 198.18.0.1:1 may be served in some regions alone", 1},
 		{"second choice", []string{
 			line("01", "b1", "flow opened", opened),
 			line("02", "b1", "flow opened", strings.Replace(strings.Replace(opened, `"attempt":0`, `"attempt":1`, 1), `"token":7,"target":70`, `"token":8,"target":80,"suspect":7`, 1)),
