--- a/internal/sim/mutant/direct.go
+++ b/internal/sim/mutant/direct.go
@@ -37,197 +37,181 @@
 	}
 }
 
-func directReadUnconfirmed() Mutant {
-	return Mutant{
-		Name:   "direct-read-unconfirmed",
-		Breaks: "a member answers a read of the declared configuration from its own copy",
-		Expect: []checker.Invariant{checker.InvariantLinearizable},
-		Story:  storyOf("direct-core-cuts"),
-		Variant: func(_ *sim.Run, parts *world.Parts) {
-			parts.Direct.Read = func(member *directworld.Member, _, _ time.Time, done func(*declared.Configuration, error)) {
-				done(member.Directory.Configuration(), nil)
-			}
-		},
-	}
-}
-
-func directTokenIgnored() Mutant {
-	return Mutant{
-		Name:   "direct-token-ignored",
-		Breaks: "a balancer chooses a target for every packet anew instead of following the token",
-		Expect: []checker.Invariant{checker.InvariantFlowKept},
-		Story:  storyOf("direct-planned"),
-		Variant: directDecision(func(table *steer.Table, segment steer.Segment, now time.Time) steer.Decision {
-			segment.Opening = true
-			return table.Decide(segment, now)
-		}),
-	}
-}
-
-func directLostTokenReset() Mutant {
-	return Mutant{
-		Name:   "direct-lost-token-reset",
-		Breaks: "balancers lose some tokens and reset the flows that carry them",
-		Expect: []checker.Invariant{checker.InvariantFlowKept},
-		Story:  storyOf("direct-target-deaths"),
-		Variant: directDecision(func(table *steer.Table, segment steer.Segment, now time.Time) steer.Decision {
-			if !segment.Opening && segment.Token%8 == 7 {
-				segment.Token += 1 << 20
-			}
-			decision := table.Decide(segment, now)
-			if decision.Reason == steer.ReasonUnknownToken {
-				decision.Action = steer.Reset
-			}
-			return decision
-		}),
-	}
+// directChoice returns a variant that changes how balancers choose targets.
+func directChoice(change func(options *steer.Options)) Change {
+	return func(_ *sim.Run, parts *world.Parts) { parts.Direct.Choice = change }
 }
 
-func directDrainIgnored() Mutant {
-	return Mutant{
-		Name:   "direct-drain-ignored",
-		Breaks: "balancers learn of draining targets as if they were ready",
-		Expect: []checker.Invariant{checker.InvariantDrain},
-		Story:  storyOf("direct-planned"),
-		Variant: directUpdates(func(update *feed.Update) {
-			for index := range update.Changes.Targets {
-				if update.Changes.Targets[index].State == directory.TargetDraining {
-					update.Changes.Targets[index].State = directory.TargetReady
+// directTargets returns a variant that changes each target in updates on their way to
+// balancers.
+func directTargets(change func(target *directory.TargetEntry)) Change {
+	return directUpdates(func(update *feed.Update) {
+		for index := range update.Changes.Targets {
+			change(&update.Changes.Targets[index])
+		}
+	})
+}
+
+// directMutants returns the broken variants of direct services, in a fixed order.
+func directMutants() []Mutant {
+	return []Mutant{
+		{
+			Name:   "direct-read-unconfirmed",
+			Breaks: "a member answers a read of the declared configuration from its own copy",
+			Expect: []checker.Invariant{checker.InvariantLinearizable},
+			Story:  storyOf("direct-core-cuts"),
+			Variant: func(_ *sim.Run, parts *world.Parts) {
+				parts.Direct.Read = func(member *directworld.Member, _, _ time.Time, done func(*declared.Configuration, error)) {
+					done(member.Directory.Configuration(), nil)
 				}
-			}
-		}),
-	}
-}
-
-func directServiceCrossed() Mutant {
-	return Mutant{
-		Name:   "direct-service-crossed",
-		Breaks: "balancers take targets of one service for those of another",
-		Expect: []checker.Invariant{checker.InvariantServiceIsolation},
-		Story:  storyOf("direct-planned"),
-		Variant: directUpdates(func(update *feed.Update) {
-			for index := range update.Changes.Targets {
-				if update.Changes.Targets[index].Token%4 == 1 {
-					update.Changes.Targets[index].Service = "ledger"
+			},
+		},
+		{
+			Name:   "direct-token-ignored",
+			Breaks: "a balancer chooses a target for every packet anew instead of following the token",
+			Expect: []checker.Invariant{checker.InvariantFlowKept},
+			Story:  storyOf("direct-planned"),
+			Variant: directDecision(func(table *steer.Table, segment steer.Segment, now time.Time) steer.Decision {
+				segment.Opening = true
+				return table.Decide(segment, now)
+			}),
+		},
+		{
+			Name:   "direct-lost-token-reset",
+			Breaks: "balancers lose some tokens and reset the flows that carry them",
+			Expect: []checker.Invariant{checker.InvariantFlowKept},
+			Story:  storyOf("direct-target-deaths"),
+			Variant: directDecision(func(table *steer.Table, segment steer.Segment, now time.Time) steer.Decision {
+				if !segment.Opening && segment.Token%8 == 7 {
+					segment.Token += 1 << 20
 				}
-			}
-		}),
-	}
-}
-
-func directUpdatePartlyLost() Mutant {
-	return Mutant{
-		Name:   "direct-update-partly-lost",
-		Breaks: "an update loses some of its targets and counts as whole",
-		Expect: []checker.Invariant{checker.InvariantSameConfiguration},
-		Story:  storyOf("direct-planned"),
-		Variant: directUpdates(func(update *feed.Update) {
-			if len(update.Changes.Targets) == 1 && update.Changes.Targets[0].Token%3 == 0 {
-				update.Changes.Targets = nil
-			}
-		}),
-	}
-}
-
-func directUpdatesStale() Mutant {
-	return Mutant{
-		Name:   "direct-updates-stale",
-		Breaks: "members tell balancers that they are current without having heard from a leader",
-		Expect: []checker.Invariant{checker.InvariantInForce},
-		Story:  storyOf("direct-bad-disks"),
-		Variant: directUpdates(func(update *feed.Update) {
-			update.Fresh = true
-		}),
-	}
-}
-
-func directEntriesNotSynced() Mutant {
-	return Mutant{
-		Name:   "direct-entries-not-synced",
-		Breaks: "registrations and declarations are acknowledged before they are written",
-		Expect: []checker.Invariant{checker.InvariantLinearizable, checker.InvariantCommittedKept},
-		Story:  storyOf("direct-power-loss"),
-		Variant: func(_ *sim.Run, parts *world.Parts) {
-			parts.Direct.Disk = func(standard filesystem.FileSystem) filesystem.FileSystem {
-				return brokenLog{FileSystem: standard, wrap: func(file filesystem.File) filesystem.File {
-					return &lateFile{File: file}
-				}}
-			}
+				decision := table.Decide(segment, now)
+				if decision.Reason == steer.ReasonUnknownToken {
+					decision.Action = steer.Reset
+				}
+				return decision
+			}),
 		},
-	}
-}
-
-func directLivingTargetFailed() Mutant {
-	return Mutant{
-		Name:   "direct-living-target-failed",
-		Breaks: "balancers take every target that drains for a dead one",
-		Expect: []checker.Invariant{checker.InvariantFlowKept},
-		Story:  storyOf("direct-planned"),
-		Variant: directUpdates(func(update *feed.Update) {
-			for index := range update.Changes.Targets {
-				if update.Changes.Targets[index].State == directory.TargetDraining {
-					update.Changes.Targets[index].State = directory.TargetFailed
+		{
+			Name:   "direct-drain-ignored",
+			Breaks: "balancers learn of draining targets as if they were ready",
+			Expect: []checker.Invariant{checker.InvariantDrain},
+			Story:  storyOf("direct-planned"),
+			Variant: directTargets(func(target *directory.TargetEntry) {
+				if target.State == directory.TargetDraining {
+					target.State = directory.TargetReady
 				}
-			}
-		}),
-	}
-}
-
-// directChoice returns a variant that changes how balancers choose targets.
-func directChoice(change func(options *steer.Options)) Change {
-	return func(_ *sim.Run, parts *world.Parts) { parts.Direct.Choice = change }
-}
-
-func directChoiceBlind() Mutant {
-	return Mutant{
-		Name:    "direct-choice-blind",
-		Breaks:  "balancers choose targets by hash alone, whatever is open there",
-		Expect:  []checker.Invariant{checker.InvariantTimely},
-		Story:   storyOf("direct-heavy-load"),
-		Variant: directChoice(func(options *steer.Options) { options.Candidates = 1 }),
-	}
-}
-
-func directAdmissionOff() Mutant {
-	return Mutant{
-		Name:    "direct-admission-off",
-		Breaks:  "balancers let every flow in, however much there is to do",
-		Expect:  []checker.Invariant{checker.InvariantTimely},
-		Story:   storyOf("direct-overload"),
-		Variant: directChoice(func(options *steer.Options) { options.AdmitShare = 0 }),
-	}
-}
-
-func directRefusesEarly() Mutant {
-	return Mutant{
-		Name:    "direct-refuses-early",
-		Breaks:  "balancers refuse flows that targets could serve in time",
-		Expect:  []checker.Invariant{checker.InvariantTimely},
-		Story:   storyOf("direct-heavy-load"),
-		Variant: directChoice(func(options *steer.Options) { options.AdmitShare = 0.05 }),
-	}
-}
-
-func directLoadNotAddedUp() Mutant {
-	return Mutant{
-		Name:   "direct-load-not-added-up",
-		Breaks: "members of a large system tell balancers nothing of the load",
-		Expect: []checker.Invariant{checker.InvariantTimely},
-		Story:  storyOf("direct-large-overload"),
-		Variant: func(_ *sim.Run, parts *world.Parts) {
-			parts.Direct.Collecting = func(options *load.CollectorOptions) { options.Interval = 0 }
+			}),
 		},
-	}
-}
-
-func directLinksAdmitAll() Mutant {
-	return Mutant{
-		Name:   "direct-links-admit-all",
-		Breaks: "balancers take every upload, however full their links are",
-		Expect: []checker.Invariant{checker.InvariantTimely},
-		Story:  storyOf("direct-full-links"),
-		Variant: func(_ *sim.Run, parts *world.Parts) {
-			parts.Direct.Transfers = func(options *transfer.Options) { options.Share = 0 }
+		{
+			Name:   "direct-service-crossed",
+			Breaks: "balancers take targets of one service for those of another",
+			Expect: []checker.Invariant{checker.InvariantServiceIsolation},
+			Story:  storyOf("direct-planned"),
+			Variant: directTargets(func(target *directory.TargetEntry) {
+				if target.Token%4 == 1 {
+					target.Service = "ledger"
+				}
+			}),
+		},
+		{
+			Name:   "direct-update-partly-lost",
+			Breaks: "an update loses some of its targets and counts as whole",
+			Expect: []checker.Invariant{checker.InvariantSameConfiguration},
+			Story:  storyOf("direct-planned"),
+			Variant: directUpdates(func(update *feed.Update) {
+				if len(update.Changes.Targets) == 1 && update.Changes.Targets[0].Token%3 == 0 {
+					update.Changes.Targets = nil
+				}
+			}),
+		},
+		{
+			Name:   "direct-updates-stale",
+			Breaks: "members tell balancers that they are current without having heard from a leader",
+			Expect: []checker.Invariant{checker.InvariantInForce},
+			Story:  storyOf("direct-bad-disks"),
+			Variant: directUpdates(func(update *feed.Update) {
+				update.Fresh = true
+			}),
+		},
+		{
+			Name:   "direct-entries-not-synced",
+			Breaks: "registrations and declarations are acknowledged before they are written",
+			Expect: []checker.Invariant{checker.InvariantLinearizable, checker.InvariantCommittedKept},
+			Story:  storyOf("direct-power-loss"),
+			Variant: func(_ *sim.Run, parts *world.Parts) {
+				parts.Direct.Disk = func(standard filesystem.FileSystem) filesystem.FileSystem {
+					return brokenLog{FileSystem: standard, wrap: func(file filesystem.File) filesystem.File {
+						return &lateFile{File: file}
+					}}
+				}
+			},
+		},
+		{
+			Name:   "direct-living-target-failed",
+			Breaks: "balancers take every target that drains for a dead one",
+			Expect: []checker.Invariant{checker.InvariantFlowKept},
+			Story:  storyOf("direct-planned"),
+			Variant: directTargets(func(target *directory.TargetEntry) {
+				if target.State == directory.TargetDraining {
+					target.State = directory.TargetFailed
+				}
+			}),
+		},
+		{
+			Name:    "direct-choice-blind",
+			Breaks:  "balancers choose targets by hash alone, whatever is open there",
+			Expect:  []checker.Invariant{checker.InvariantTimely},
+			Story:   storyOf("direct-heavy-load"),
+			Variant: directChoice(func(options *steer.Options) { options.Candidates = 1 }),
+		},
+		{
+			Name:    "direct-admission-off",
+			Breaks:  "balancers let every flow in, however much there is to do",
+			Expect:  []checker.Invariant{checker.InvariantTimely},
+			Story:   storyOf("direct-overload"),
+			Variant: directChoice(func(options *steer.Options) { options.AdmitShare = 0 }),
+		},
+		{
+			Name:    "direct-refuses-early",
+			Breaks:  "balancers refuse flows that targets could serve in time",
+			Expect:  []checker.Invariant{checker.InvariantTimely},
+			Story:   storyOf("direct-heavy-load"),
+			Variant: directChoice(func(options *steer.Options) { options.AdmitShare = 0.05 }),
+		},
+		{
+			Name:   "direct-load-not-added-up",
+			Breaks: "members of a large system tell balancers nothing of the load",
+			Expect: []checker.Invariant{checker.InvariantTimely},
+			Story:  storyOf("direct-large-overload"),
+			Variant: func(_ *sim.Run, parts *world.Parts) {
+				parts.Direct.Collecting = func(options *load.CollectorOptions) { options.Interval = 0 }
+			},
+		},
+		{
+			Name:   "direct-links-admit-all",
+			Breaks: "balancers take every upload, however full their links are",
+			Expect: []checker.Invariant{checker.InvariantTimely},
+			Story:  storyOf("direct-full-links"),
+			Variant: func(_ *sim.Run, parts *world.Parts) {
+				parts.Direct.Transfers = func(options *transfer.Options) { options.Share = 0 }
+			},
+		},
+		{
+			Name:    "direct-evacuation-ignored",
+			Breaks:  "balancers do not learn which zones are emptied",
+			Expect:  []checker.Invariant{checker.InvariantEvacuated},
+			Story:   storyOf("direct-evacuations"),
+			Variant: directUpdates(func(update *feed.Update) { update.Changes.Zones = nil }),
+		},
+		{
+			Name:   "direct-coldness-ignored",
+			Breaks: "balancers take cold targets for warm ones",
+			Expect: []checker.Invariant{checker.InvariantColdRate},
+			Story:  storyOf("direct-cold-returns"),
+			Variant: directTargets(func(target *directory.TargetEntry) {
+				target.Cold = 0
+			}),
 		},
 	}
 }
--- a/internal/sim/mutant/table.go
+++ b/internal/sim/mutant/table.go
@@ -5,7 +5,7 @@
 // A hint from an agent to a balancer has no mutant: a balancer that forgets or
 // confuses hints only sends packets along a longer way, and breaks nothing.
 func All() []Mutant {
-	return []Mutant{
+	return append([]Mutant{
 		chainCutToHead(),
 		bucketsReportedEmptyEarly(),
 		ownersIgnored(),
@@ -41,23 +41,7 @@
 		updatePartlyLost(),
 		digestIgnored(),
 		relayClaimsToBeCurrent(),
-		directReadUnconfirmed(),
-		directTokenIgnored(),
-		directLostTokenReset(),
-		directDrainIgnored(),
-		directServiceCrossed(),
-		directUpdatePartlyLost(),
-		directUpdatesStale(),
-		directEntriesNotSynced(),
-		directLivingTargetFailed(),
-		directChoiceBlind(),
-		directAdmissionOff(),
-		directRefusesEarly(),
-		directLoadNotAddedUp(),
-		directLinksAdmitAll(),
-		directEvacuationIgnored(),
-		directColdnessIgnored(),
-	}
+	}, directMutants()...)
 }
 
 // Find returns the mutant called name.
