Simulate a target that answers errors at once

direct-erring-targets: a target answers every call with a short error while callers press; it must be set aside within six seconds, and return after its end, also when the leader changes.

--- a/internal/sim/directworld/caller.go
+++ b/internal/sim/directworld/caller.go
@@ -40,10 +40,16 @@
 	acknowledges bool
 	// piece is the number of a packet of an upload, from one.
 	piece int
+	// acknowledged is the number of bytes of answers that came before the packet.
+	acknowledged uint32
 }
 
-// requestBytes is the length of one simulated request, and of one answer.
-const requestBytes = 100
+const (
+	// requestBytes is the length of one simulated request, and of one answer.
+	requestBytes = 100
+	// errorBytes is the length of an answer that is an error.
+	errorBytes = 20
+)
 
 func (packet packet) segment() steer.Segment {
 	hasData := packet.asked > 0 && !packet.closing && !packet.acknowledges
@@ -69,7 +75,7 @@
 		HasData:         hasData,
 		Length:          length,
 		Sequence:        sequence,
-		Acknowledgement: uint32(packet.answered * requestBytes),
+		Acknowledgement: packet.acknowledged,
 		Closing:         packet.closing,
 	}
 }
@@ -92,6 +98,8 @@
 	// asked and answered count the requests that were sent and answered.
 	asked    int
 	answered int
+	// acknowledged is the number of bytes of answers that came.
+	acknowledged uint32
 	// call is the call that the flow is for, if it is for a single one, and
 	// callEnded tells that its end was taken in.
 	call      *call
@@ -180,6 +188,7 @@
 }
 
 func (flow *flow) send(packet packet) {
+	packet.acknowledged = flow.acknowledged
 	through := flow.world.route(flow)
 	if through == nil {
 		return
@@ -219,13 +228,14 @@
 	flow.world.after(dataInterval, flow.data)
 }
 
-// takeAnswer takes in the answer to a request, and acknowledges it.
-func (flow *flow) takeAnswer(asked int) {
+// takeAnswer takes in the answer of some bytes to a request, and acknowledges it.
+func (flow *flow) takeAnswer(asked int, bytes uint32) {
 	flow.answeredAt = flow.world.Now()
 	if asked <= flow.answered {
 		return
 	}
 	flow.answered = asked
+	flow.acknowledged += bytes
 	if !flow.ended {
 		flow.send(packet{flow: flow, token: flow.token, asked: flow.asked, answered: flow.answered, acknowledges: true})
 	}
--- a/internal/sim/directworld/checks.go
+++ b/internal/sim/directworld/checks.go
@@ -207,6 +207,17 @@
 	checks.violate(checker.InvariantProgress, "target %s does not become aside=%t within %s", target.address, aside, within)
 }
 
+// asideNow demands that the leader has set a target aside.
+func (checks *checks) asideNow(target *target) {
+	leader := checks.world.leader()
+	if leader == nil {
+		return
+	}
+	if held, known := leader.Directory.Target(target.id); !known || !held.Aside {
+		checks.violate(checker.InvariantProgress, "target %s answers errors for seconds and is not set aside", target.address)
+	}
+}
+
 // opened judges a target that takes a new flow.
 func (checks *checks) opened(through *balancer, target *target, packet packet) {
 	world := checks.world
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -77,6 +77,12 @@
 		change:  func(options *Options) { options.Affine = true },
 		play:    greyTargets,
 	},
+	{
+		name:    "direct-erring-targets",
+		summary: "a target answers every call with an error at once, while its health is good; the leader changes meanwhile",
+		change:  callsOnly,
+		play:    erringTargets,
+	},
 	{
 		name:    "direct-heavy-load",
 		summary: "targets work at most of their capacity, one of them slowly, while one is replaced and a balancer restarts",
--- a/internal/sim/directworld/stories_load.go
+++ b/internal/sim/directworld/stories_load.go
@@ -39,6 +39,27 @@
 	world.checks.timelyCalls(0.93, 1.1)
 }
 
+// erringTargets has a target that answers errors while callers press, twice.
+func erringTargets(world *World) {
+	for round := range 2 {
+		chosen := world.feedTarget()
+		world.after(6*time.Second, func() {
+			world.disturb("errors", chosen.address.String())
+			chosen.erring = true
+		})
+		world.after(12*time.Second, func() {
+			world.checks.asideNow(chosen)
+			if leader := world.leader(); leader != nil && round == 1 {
+				leader.Kill()
+				world.after(time.Second, leader.Start)
+			}
+			chosen.erring = false
+		})
+		world.calls.Press(capacityPerSecond/3, 2*time.Second, 16*time.Second)
+		world.checks.becomesAside(chosen, false, returnsWithin)
+	}
+}
+
 func overload(world *World) {
 	world.calls.Press(capacityPerSecond*4/3, 4*time.Second, 12*time.Second)
 	world.checks.timelyCalls(0.6, 1.05)
--- a/internal/sim/directworld/target.go
+++ b/internal/sim/directworld/target.go
@@ -40,6 +40,8 @@
 	// which new flows reached it while it was.
 	coldUntil time.Time
 	coldFlows []time.Time
+	// erring tells that the target answers every call with an error at once.
+	erring bool
 	// slots has the requests of calls.
 	slots slots
 }
@@ -297,6 +299,6 @@
 		return
 	}
 	world.packets.Send(target.endpoint(), flow.endpoint(), func() {
-		flow.takeAnswer(packet.asked)
+		flow.takeAnswer(packet.asked, requestBytes)
 	})
 }
--- a/internal/sim/directworld/uploads.go
+++ b/internal/sim/directworld/uploads.go
@@ -143,7 +143,7 @@
 		return
 	}
 	flow.asked = 1
-	flow.takeAnswer(1)
+	flow.takeAnswer(1, requestBytes)
 	flow.finish()
 	flow.end()
 	transfer.upload.done = true
--- a/internal/sim/directworld/work.go
+++ b/internal/sim/directworld/work.go
@@ -46,6 +46,8 @@
 	}
 	world.calls.arrived++
 	switch {
+	case target.erring:
+		target.answer(next, false)
 	case target.slots.running < slotsPerTarget:
 		target.slots.taken[next.flow] = true
 		target.run(next)
@@ -78,8 +80,12 @@
 // answer sends the answer to a call, or its refusal.
 func (target *target) answer(done job, served bool) {
 	world := target.world
+	bytes := uint32(requestBytes)
+	if !served {
+		bytes = errorBytes
+	}
 	world.packets.Send(target.endpoint(), done.flow.endpoint(), func() {
-		done.flow.takeAnswer(done.asked)
+		done.flow.takeAnswer(done.asked, bytes)
 		done.flow.call.ended(done.flow, served)
 	})
 }
--- a/internal/sim/mutant/direct.go
+++ b/internal/sim/mutant/direct.go
@@ -1,6 +1,7 @@
 package mutant
 
 import (
+	"slices"
 	"time"
 
 	"merlinpaddle/internal/checker"
@@ -204,6 +205,24 @@
 			Story:   storyOf("direct-evacuations"),
 			Variant: directUpdates(func(update *feed.Update) { update.Changes.Zones = nil }),
 		},
+		{
+			Name:   "direct-errors-unseen",
+			Breaks: "balancers count answers that are errors as any others",
+			Expect: []checker.Invariant{checker.InvariantProgress},
+			Story:  storyOf("direct-erring-targets"),
+			Variant: func(_ *sim.Run, parts *world.Parts) {
+				parts.Direct.Messages = func(envelope protocol.Envelope) []protocol.Envelope {
+					if report, isReport := envelope.Message.(feed.OutcomeReport); isReport {
+						report.Counts = slices.Clone(report.Counts)
+						for index := range report.Counts {
+							report.Counts[index].Hasty = 0
+						}
+						envelope.Message = report
+					}
+					return []protocol.Envelope{envelope}
+				}
+			},
+		},
 		{
 			Name:   "direct-coldness-ignored",
 			Breaks: "balancers take cold targets for warm ones",
