--- a/internal/direct/renewal/relay_test.go
+++ b/internal/direct/renewal/relay_test.go
@@ -20,7 +20,8 @@
 	address = netip.MustParseAddrPort("10.0.0.7:8080")
 )
 
-// rig is a relay with a table that has one ready and one draining target.
+// rig is a relay with a table that has a ready, a draining and a failed target, one after
+// the other at an address.
 type rig struct {
 	mailbox  *protocol.Mailbox
 	dispatch *protocol.Dispatcher
@@ -37,6 +38,7 @@
 	require.True(t, made.table.Apply(directory.Changes{Whole: true, To: 1, Version: 1, Targets: []directory.TargetEntry{
 		{Token: 1, ID: 7, Address: address, Capacity: 2, State: directory.TargetReady},
 		{Token: 2, ID: 8, Address: address, Capacity: 2, State: directory.TargetDraining},
+		{Token: 3, ID: 6, Address: address, Capacity: 2, State: directory.TargetFailed},
 	}}, start))
 	made.table.Confirm(start)
 	return made
@@ -60,6 +62,7 @@
 		{"renewal", target(7), 0, 0},
 		{"unknown target", target(9), 0, faults.NotLeader},
 		{"target that drains", target(8), 0, faults.NotLeader},
+		{"late renewal of a former incarnation at the address", target(6), 0, faults.NotLeader},
 		{"target that begins to drain", leaving, 0, faults.NotLeader},
 		{"other address", moved, 0, faults.NotLeader},
 		{"other capacity", grown, 0, faults.NotLeader},
