Wait for what a stopped agent sent before its answers are let through again

The test mutes its fabric while an agent is stopped, so that the agent seems to crash. When the agent's closing of its connections came before the closing of its socket, its last packet could still wait at the fabric's socket when the fabric was unmuted, and told the caller that its connection was closed.

Change: the harness sends a packet to the fabric itself and waits for it before it unmutes, so that all that came before was handled. What the test demands is as before.

--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -53,7 +53,9 @@
 	port    atomic.Uint32
 	hints   atomic.Int32
 	// muted drops answers, as when an agent dies without closing anything.
-	muted  atomic.Bool
+	muted atomic.Bool
+	// marks counts the packets that the fabric sent to itself.
+	marks  atomic.Int32
 	resets chan packet.Encapsulated
 }
 
@@ -77,6 +79,8 @@
 
 func (fabric *fabric) handle(received *packet.Encapsulated) {
 	switch received.Kind {
+	case packet.KindIngress:
+		fabric.marks.Add(1)
 	case packet.KindHint:
 		fabric.hints.Add(1)
 	case packet.KindReturn:
@@ -98,6 +102,18 @@
 	}
 }
 
+// settle returns once everything was handled that was sent to the fabric before: a packet
+// to itself comes after it.
+func (fabric *fabric) settle() {
+	fabric.t.Helper()
+	before := fabric.marks.Load()
+	flow := model.FiveTuple{Protocol: model.ProtocolQUIC, Source: netip.MustParseAddrPort("127.0.0.77:1"), Destination: serviceAddress}
+	require.NoError(fabric.t, fabric.socket.Send(fabric.socket.Address(), &packet.Encapsulated{
+		Kind: packet.KindIngress, Flow: flow, Inner: packet.BuildInnerUDP(flow, []byte("mark")),
+	}))
+	eventually(fabric.t, func() bool { return fabric.marks.Load() > before })
+}
+
 // newCaller returns a connection of a caller with an address of its own.
 func (fabric *fabric) newCaller(protocol model.Protocol) (*dataplane.PacketConn, netip.AddrPort) {
 	source := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.77"), uint16(fabric.port.Add(1)))
@@ -304,6 +320,8 @@
 	address := fleet.agents[index].PacketAddress()
 	fleet.fabric.muted.Store(true)
 	fleet.stops[index]()
+	// What the agent sent while it stopped may still wait at the fabric's socket.
+	fleet.fabric.settle()
 	fleet.fabric.muted.Store(false)
 	fleet.startAgentAt(index, backend, address.String())
 	fleet.waitAccepting(1)
