Count what a link takes for a datagram besides its content

Cause: the balancer's pacer counted 28 bytes of heads for a datagram. The links that carry them take more for each, as Ethernet does (38 bytes of framing). Calls that ask much and bring little are opening packets and acknowledgements of 40 bytes, so that the pacer let through 1.4 times what the link carries. The queue then stood behind the pacer, where copies are not known as such and nobody decides: handshakes took 0.2 to 1.4 s while the balancer's own queue was empty, callers sent each opening packet three times, and one zone of callers stayed lost in the valleys of its wave.

Ruled out, by a trace of the packets, queues and handshakes of the zone's balancers: the queue of the balancer (empty or under 60 KB), targets (balancers of the same zone with fewer packets had handshakes of 10 ms to the same ones), lost opening packets (all three copies came), the link towards the balancer (it brought up to 400 KB/s).

Change: the overhead is a setting, direct.link_overhead, 66 bytes by default.

The new test fails with 28 bytes: 848,000 bytes on a wire that carries 586,300.

--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -18,6 +18,7 @@
 	"merlinpaddle/internal/board"
 	"merlinpaddle/internal/direct"
 	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/direct/egress"
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/forwarder"
 	"merlinpaddle/internal/direct/load"
@@ -190,7 +191,7 @@
 	registry *prometheus.Registry, logger *zap.Logger) (*forwarder.Forwarder, error) {
 	options := forwarder.Options{
 		Address:  chosen.Direct.Packets,
-		LinkRate: linkRate(chosen),
+		Link:     egress.Link{BytesPerSecond: linkRate(chosen), DatagramOverhead: chosen.Direct.LinkOverhead},
 		Failures: socketfault.New(registry, logger.Named("flows"), "packets"),
 	}
 	return forwarder.New(options, codec, table, suspects, watcher, admission, observer)
--- a/internal/direct/egress/egress.go
+++ b/internal/direct/egress/egress.go
@@ -48,14 +48,13 @@
 	sent, waited, repeated, refused atomic.Uint64
 }
 
-// New returns an egress for a link that carries bytesPerSecond; zero means that
-// the link has no bound.
-func New(bytesPerSecond float64, write Write) *Egress {
+// New returns an egress for a link.
+func New(link Link, write Write) *Egress {
 	return &Egress{
 		write:  write,
 		notice: make(chan struct{}, 1),
 		queue:  newFairQueue(queueLimit),
-		pacer:  pacer{bytesPerSecond: bytesPerSecond},
+		pacer:  pacer{link: link},
 
 		observe: func(time.Duration) {},
 	}
--- a/internal/direct/egress/egress_test.go
+++ b/internal/direct/egress/egress_test.go
@@ -12,6 +12,8 @@
 	"github.com/leanovate/gopter/prop"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+
+	"merlinpaddle/internal/settings"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -62,6 +64,13 @@
 	link.carried = append(link.carried, len(content))
 }
 
+// datagramOverhead is the size of the IP and UDP heads, in bytes, which is all that the
+// links of most tests add to a datagram.
+const datagramOverhead = 28
+
+// linkOf returns a link of a rate in bytes a second; zero has no bound.
+func linkOf(rate float64) Link { return Link{BytesPerSecond: rate, DatagramOverhead: datagramOverhead} }
+
 // narrow is 2.6 Mbit/s in bytes a second.
 const narrow = 2.6e6 / 8
 
@@ -81,7 +90,7 @@
 		if paced {
 			rate = narrow
 		}
-		egress := New(rate, link.write)
+		egress := New(linkOf(rate), link.write)
 		for number := range uint32(16) {
 			egress.Send(data(1, number, largest), link.now)
 		}
@@ -97,9 +106,33 @@
 	}
 }
 
+// TestManySmallDatagramsStayWithinTheLink is the load of callers that ask much and of
+// short calls: three quarters of their datagrams are opening packets and acknowledgements
+// of 40 bytes, for which Ethernet takes 106. A pacer that counts 68 sends 1.4 times what
+// the link carries at nine tenths of its rate.
+func TestManySmallDatagramsStayWithinTheLink(t *testing.T) {
+	const (
+		small         = 40
+		ethernetBytes = 66
+		share         = 0.9
+		seconds       = 2
+	)
+	onWire := 0
+	egress := New(Link{BytesPerSecond: share * narrow, DatagramOverhead: settings.Default().Direct.LinkOverhead},
+		func(content []byte, _ netip.AddrPort) { onWire += len(content) + ethernetBytes })
+	for at := time.Duration(0); at < seconds*time.Second; at += 250 * time.Microsecond {
+		now := start.Add(at)
+		egress.Flush(now)
+		egress.Send(Datagram{Flow: flowOf(int(at / (250 * time.Microsecond))), To: target, Content: make([]byte, small)}, now)
+	}
+	burst := narrow * burstTime.Seconds()
+	require.LessOrEqual(t, float64(onWire), share*narrow*seconds+burst)
+	require.GreaterOrEqual(t, float64(onWire), 0.99*share*narrow*seconds, "the link is used")
+}
+
 func TestShortFlowsDoNotWaitForLongOnes(t *testing.T) {
 	var order []byte
-	egress := New(narrow, func(content []byte, _ netip.AddrPort) { order = append(order, content[0]) })
+	egress := New(linkOf(narrow), func(content []byte, _ netip.AddrPort) { order = append(order, content[0]) })
 	for number := range uint32(16) {
 		egress.Send(data(1, number, largest), start)
 	}
@@ -215,7 +248,7 @@
 
 func TestRepeatedDataIsSentOnce(t *testing.T) {
 	link := &link{bytesPerSecond: narrow, queue: time.Second, now: start}
-	egress := New(narrow, link.write)
+	egress := New(linkOf(narrow), link.write)
 	for number := range uint32(16) {
 		egress.Send(data(1, number, largest), link.now)
 	}
@@ -231,7 +264,7 @@
 }
 
 func TestPacketsWithoutDataAreNeverRepetitions(t *testing.T) {
-	egress := New(1, func([]byte, netip.AddrPort) {})
+	egress := New(linkOf(1), func([]byte, netip.AddrPort) {})
 	acknowledgement := Datagram{Flow: flowOf(1), To: target, Sequence: 5, Content: make([]byte, 40)}
 	for range 3 {
 		egress.Send(acknowledgement, start)
@@ -240,7 +273,7 @@
 }
 
 func TestFullQueueRefuses(t *testing.T) {
-	egress := New(1, func([]byte, netip.AddrPort) {})
+	egress := New(linkOf(1), func([]byte, netip.AddrPort) {})
 	for number := range uint32(1000) {
 		egress.Send(data(1, number, largest), start)
 	}
@@ -251,7 +284,7 @@
 
 func TestWithoutARateNothingWaits(t *testing.T) {
 	link := &link{bytesPerSecond: narrow, queue: time.Hour, now: start}
-	egress := New(0, link.write)
+	egress := New(linkOf(0), link.write)
 	for number := range uint32(100) {
 		egress.Send(data(1, number, largest), start)
 	}
@@ -304,7 +337,7 @@
 func TestRunSendsWhatWaits(t *testing.T) {
 	var lock sync.Mutex
 	sent := 0
-	egress := New(10e6, func([]byte, netip.AddrPort) {
+	egress := New(linkOf(10e6), func([]byte, netip.AddrPort) {
 		lock.Lock()
 		defer lock.Unlock()
 		sent++
@@ -325,7 +358,7 @@
 }
 
 func BenchmarkSendOnAFreeLink(b *testing.B) {
-	egress := New(125e6, func([]byte, netip.AddrPort) {})
+	egress := New(linkOf(125e6), func([]byte, netip.AddrPort) {})
 	datagram := data(1, 1, largest)
 	now := start
 	b.ReportAllocs()
--- a/internal/direct/egress/shaping_test.go
+++ b/internal/direct/egress/shaping_test.go
@@ -68,7 +68,7 @@
 
 func newNarrowLink(share float64, uploads int) *narrowLink {
 	link := &narrowLink{now: start, answers: make(map[time.Time][]Datagram), sent: make(map[uint32]time.Time)}
-	link.egress = New(share*narrow, link.leave)
+	link.egress = New(linkOf(share*narrow), link.leave)
 	for port := 1; port <= uploads; port++ {
 		link.senders = append(link.senders, &sender{port: port, under: make(map[uint32]underWay)})
 	}
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -87,9 +87,8 @@
 type Options struct {
 	// Address is where the socket is opened.
 	Address string
-	// LinkRate is the rate to send at, in bytes a second; zero means that it has
-	// no bound.
-	LinkRate float64
+	// Link is what the forwarder sends by.
+	Link egress.Link
 	// Failures counts what fails at the socket.
 	Failures *socketfault.Counter
 }
@@ -108,7 +107,7 @@
 	options.Failures.Note(socketfault.Buffer, socket.SetReadBuffer(socketBufferBytes))
 	options.Failures.Note(socketfault.Buffer, socket.SetWriteBuffer(socketBufferBytes))
 	forwarder := &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, requests: requests, admission: admission, observer: observer, parking: newParking(), failures: options.Failures}
-	forwarder.egress = egress.New(options.LinkRate, forwarder.write)
+	forwarder.egress = egress.New(options.Link, forwarder.write)
 	return forwarder, nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,6 +58,11 @@
 	// carries then waits in its own queue, where short requests go first, and not
 	// in front of the link towards it.
 	LinkShare float64 `koanf:"link_share" validate:"gt=0,max=1"`
+	// LinkOverhead is the number of bytes that the link takes for each datagram besides
+	// its content: 28 of IP and UDP heads, and 38 of Ethernet's preamble, head, check
+	// sequence and gap (IEEE 802.3). With too small a figure, calls of many small
+	// datagrams overrun the link behind the balancer's own queue.
+	LinkOverhead int `koanf:"link_overhead" validate:"min=28,max=512"`
 	// LinkAdmission is the share of its route's objective in which the link has to
 	// carry a new flow's long request, after those that are open; a flow that would
 	// take longer is refused, so that its caller comes to another balancer. Zero
@@ -365,6 +370,7 @@
 			Followers:         64,
 			PeerFollowers:     16,
 			LinkShare:         0.9,
+			LinkOverhead:      66,
 			LinkAdmission:     0.5,
 			LoadCandidates:    3,
 			LoadAdmission:     0.6,
--- a/internal/sim/directworld/links.go
+++ b/internal/sim/directworld/links.go
@@ -15,6 +15,8 @@
 	// linkQueueTime bounds what waits in front of a link towards a balancer: more
 	// is lost.
 	linkQueueTime = 60 * time.Millisecond
+	// datagramOverhead is the size of the IP and UDP heads, in bytes.
+	datagramOverhead = 28
 	// identityBytes is the size of the number that a datagram carries in place of
 	// its content.
 	identityBytes = 8
@@ -37,7 +39,7 @@
 
 func newLink(world *World) *link {
 	created := &link{world: world, bytesPerSecond: world.options.LinkRate, leaving: make(map[uint64]func())}
-	created.egress = egress.New(world.options.LinkShare*world.options.LinkRate, created.write)
+	created.egress = egress.New(egress.Link{BytesPerSecond: world.options.LinkShare * world.options.LinkRate, DatagramOverhead: datagramOverhead}, created.write)
 	return created
 }
 
