Give new flows to targets of the own zone while they have room, and the surplus elsewhere

Cause: near targets weighed four times others, always. A third of the flows crossed zones without need, and a cut ended what they carried; yet a zone whose callers came in numbers kept the same share near, whatever its targets bore.

Change: near targets weigh 64 times others. When the least busy of three near ones has no idle slot, three of other zones are looked at, and the least busy of them gets the flow if it is at most half as pressed. Nothing is agreed on: the surplus crosses flow by flow. A zone with few targets is preferred in proportion; a balancer that does not know loads keeps the weight of four. Members look at the use of each zone's targets by themselves, so that loads are shared when one zone is half used. Settings direct.near_weight and spill_candidates; metric merlinpaddle_direct_flows_total; field place of flow lines.

Ruled out: a share agreed on by members, which would be as old as the counts and could swing.

--- a/internal/direct/balancernode/metrics.go
+++ b/internal/direct/balancernode/metrics.go
@@ -15,8 +15,10 @@
 // packet path does not wait.
 type metrics struct {
 	decisions   []atomic.Uint64
+	places      []atomic.Uint64
 	malformed   atomic.Uint64
 	packets     *prometheus.Desc
+	flows       *prometheus.Desc
 	malformedAs *prometheus.Desc
 
 	egress *prometheus.Desc
@@ -69,6 +71,10 @@
 		evacuated: prometheus.NewDesc("merlinpaddle_direct_evacuated_zones",
 			"Zones whose targets get no new flows from this balancer, by order of an operator.", nil, nil),
 		decisions: make([]atomic.Uint64, len(steer.Reasons())),
+		places:    make([]atomic.Uint64, len(steer.Places())),
+		flows: prometheus.NewDesc("merlinpaddle_direct_flows_total",
+			"New flows, by where their target lies: near, elsewhere by hash, or spilled because near targets had no room.",
+			[]string{"place"}, nil),
 		packets: prometheus.NewDesc("merlinpaddle_direct_packets_total",
 			"Packets of callers, by the reason of the decision.", []string{"reason"}, nil),
 		counts: func() egress.Counts { return egress.Counts{} },
@@ -91,6 +97,7 @@
 // Describe implements prometheus.Collector.
 func (metrics *metrics) Describe(descriptions chan<- *prometheus.Desc) {
 	descriptions <- metrics.packets
+	descriptions <- metrics.flows
 	descriptions <- metrics.malformedAs
 	descriptions <- metrics.egress
 	descriptions <- metrics.open
@@ -107,6 +114,10 @@
 		count := float64(metrics.decisions[reason].Load())
 		collected <- prometheus.MustNewConstMetric(metrics.packets, prometheus.CounterValue, count, reason.String())
 	}
+	for _, place := range steer.Places() {
+		count := float64(metrics.places[place].Load())
+		collected <- prometheus.MustNewConstMetric(metrics.flows, prometheus.CounterValue, count, place.String())
+	}
 	metrics.collectEgress(collected)
 	metrics.collectLoad(collected)
 	confirmed := gaugeOf(metrics.table.Fresh(time.Now()))
@@ -130,7 +141,7 @@
 	own, others := metrics.book.Totals()
 	collected <- prometheus.MustNewConstMetric(metrics.open, prometheus.GaugeValue, float64(own), "this")
 	collected <- prometheus.MustNewConstMetric(metrics.open, prometheus.GaugeValue, float64(others), "others")
-	collected <- prometheus.MustNewConstMetric(metrics.trusted, prometheus.GaugeValue, gaugeOf(metrics.book.Trusted()))
+	collected <- prometheus.MustNewConstMetric(metrics.trusted, prometheus.GaugeValue, gaugeOf(metrics.book.Known()))
 }
 
 func (metrics *metrics) collectEgress(collected chan<- prometheus.Metric) {
--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -74,6 +74,8 @@
 	options.Self = model.NodeName(chosen.Node)
 	options.Zone = chosen.Zone
 	options.Regions = regionsOf(chosen.Direct.Zones)
+	options.NearWeight = chosen.Direct.NearWeight
+	options.SpillCandidates = chosen.Direct.SpillCandidates
 	options.Candidates = chosen.Direct.LoadCandidates
 	options.AdmitShare = chosen.Direct.LoadAdmission
 	options.Loads = book
--- a/internal/direct/balancernode/observer.go
+++ b/internal/direct/balancernode/observer.go
@@ -32,6 +32,7 @@
 	}
 	if decision.Reason == steer.ReasonChosen {
 		observer.metrics.observeAge(decision.ConfirmedAgo)
+		observer.metrics.places[decision.Place].Add(1)
 	}
 	message := "packet dropped"
 	switch decision.Action {
@@ -52,6 +53,7 @@
 		zap.Int("attempt", segment.Attempt),
 		zap.Uint32("token", uint32(max(decision.Token, segment.Token))),
 		zap.Uint64("target", uint64(decision.ID)),
+		zap.Stringer("place", decision.Place),
 		zap.Uint32("suspect", uint32(decision.Suspect)),
 		zap.Int("open", decision.Open),
 		zap.Duration("expected", decision.Expected),
--- a/internal/direct/directory/evacuation_test.go
+++ b/internal/direct/directory/evacuation_test.go
@@ -181,7 +181,12 @@
 	index := NewCapacityIndex(runner.directory)
 	_, capacity := index.ServiceCapacity(token)
 	require.Equal(t, 4, capacity)
+	pool, capacity := index.PoolCapacity(token)
+	require.Equal(t, "a", pool.Zone)
+	require.Equal(t, 2, capacity)
 	runner.order("a", false, 0)
 	_, capacity = index.ServiceCapacity(token)
 	require.Equal(t, 2, capacity)
+	_, capacity = index.PoolCapacity(token)
+	require.Zero(t, capacity)
 }
--- a/internal/direct/load/book.go
+++ b/internal/direct/load/book.go
@@ -151,6 +151,9 @@
 	return known.own + known.others, known.serving.time()
 }
 
+// Known implements steer.Loads.
+func (book *Book) Known() bool { return book.trust.holds() }
+
 // Totals returns the open requests of all targets: this balancer's own, and those
 // that other balancers told.
 func (book *Book) Totals() (own, others int) {
@@ -166,10 +169,6 @@
 	return own, others
 }
 
-// Trusted tells whether this balancer sees its flows whole, so that counts are
-// used.
-func (book *Book) Trusted() bool { return book.trust.holds() }
-
 // appendOwn appends this balancer's counts that are not zero, in no order. It has
 // none to tell while it does not see its flows whole.
 func (book *Book) appendOwn(entries []Entry) []Entry {
--- a/internal/direct/load/collector.go
+++ b/internal/direct/load/collector.go
@@ -31,13 +31,20 @@
 	Interval time.Duration
 	// Members returns the names of all members of the control group.
 	Members func() []model.NodeName
-	// Capacities is asked for the capacity of services.
-	Capacities Capacities
+	// Capacities is asked for the capacity of the targets of a service in a zone.
+	Capacities PoolCapacities
 	// OnChange, when it is not nil, is called when the load begins to be shared, and
 	// when it ends.
 	OnChange func(sharing Sharing)
 }
 
+// PoolCapacities tells what the targets of a service in one zone can bear.
+type PoolCapacities interface {
+	// PoolCapacity returns the pool of a target, and the number of requests that the
+	// pool's targets together work on at once.
+	PoolCapacity(token directory.Token) (pool directory.Pool, capacity int)
+}
+
 // Collector is the controller that adds up, at a member of the control group of a
 // large system, the open requests of the balancers that report to it, exchanges
 // sums with the other members, and tells its balancers the sum of all while the
@@ -154,17 +161,19 @@
 	}
 }
 
-// utilization returns the open requests of the busiest service by its capacity.
+// utilization returns the open requests of the busiest pool by its capacity: balancers
+// prefer targets of their own zone, so that the targets of one zone may be full while the
+// service has room.
 func (collector *Collector) utilization() float64 {
-	openBy := make(map[string]int)
+	openBy := make(map[directory.Pool]int)
 	highest := 0.0
 	for token, open := range collector.all {
-		service, capacity := collector.options.Capacities.ServiceCapacity(token)
+		pool, capacity := collector.options.Capacities.PoolCapacity(token)
 		if capacity == 0 {
 			continue
 		}
-		openBy[service] += open
-		highest = max(highest, float64(openBy[service])/float64(capacity))
+		openBy[pool] += open
+		highest = max(highest, float64(openBy[pool])/float64(capacity))
 	}
 	return highest
 }
--- a/internal/direct/load/load_test.go
+++ b/internal/direct/load/load_test.go
@@ -56,6 +56,12 @@
 	return "first", node.capacity
 }
 
+// PoolCapacity implements PoolCapacities: each service has a pool.
+func (node *node) PoolCapacity(token directory.Token) (directory.Pool, int) {
+	service, capacity := node.ServiceCapacity(token)
+	return directory.Pool{Service: service}, capacity
+}
+
 // run lets time pass at nodes that reach each other, but for those that are cut
 // off.
 func run(from time.Time, duration time.Duration, cut map[model.NodeName]bool, nodes ...*node) time.Time {
--- a/internal/direct/load/size_bench_test.go
+++ b/internal/direct/load/size_bench_test.go
@@ -21,6 +21,11 @@
 	return "feed", int(capacity)
 }
 
+// PoolCapacity implements PoolCapacities.
+func (capacity capacityOf) PoolCapacity(directory.Token) (directory.Pool, int) {
+	return directory.Pool{Service: "feed"}, int(capacity)
+}
+
 // discard counts the bytes of reports as datagrams carry them.
 type discard struct {
 	encoders *gobstream.Encoders
--- a/internal/direct/steer/admission_test.go
+++ b/internal/direct/steer/admission_test.go
@@ -18,6 +18,9 @@
 	typical time.Duration
 }
 
+// Known implements Loads.
+func (busy *busy) Known() bool { return true }
+
 // Load implements Loads.
 func (busy *busy) Load(directory.Token) (int, time.Duration) { return busy.open, busy.serving }
 
--- a/internal/direct/steer/apply.go
+++ b/internal/direct/steer/apply.go
@@ -111,6 +111,7 @@
 	for key, built := range services {
 		built.restrictCold(table.coldness.perSecond[key.name], table.options.Self)
 		built.measure()
+		built.measureZones()
 	}
 	table.services = services
 }
--- a/internal/direct/steer/choices.go
+++ b/internal/direct/steer/choices.go
@@ -113,19 +113,19 @@
 }
 
 // rank fills choices with the best targets for the hash, by weighted rendezvous
-// hashing. Targets that are avoided are left out while others are
+// hashing, in which near targets have nearWeight times their weight. Targets that are avoided are left out while others are
 // there.
-func (service *service) rank(hash uint64, now time.Time, options Options, choices *choices) {
+func (service *service) rank(hash uint64, now time.Time, nearWeight float64, choices *choices) {
 	for _, target := range service.targets {
 		if target.usable(now) {
-			choices.add(target, target.score(hash, now, options))
+			choices.add(target, target.score(hash, now, nearWeight))
 		}
 	}
 	if choices.count > 0 {
 		return
 	}
 	for _, target := range service.targets {
-		choices.add(target, target.score(hash, now, options))
+		choices.add(target, target.score(hash, now, nearWeight))
 	}
 }
 
@@ -135,10 +135,10 @@
 
 // score is the target's place in weighted rendezvous hashing: the target with
 // the highest score is chosen with a probability in proportion to its weight.
-func (target *record) score(hash uint64, now time.Time, options Options) float64 {
+func (target *record) score(hash uint64, now time.Time, nearWeight float64) float64 {
 	weight := float64(target.slots())
 	if target.near {
-		weight *= options.NearWeight
+		weight *= nearWeight
 	}
 	if now.Before(target.warmAt) {
 		weight *= coldWeight
--- a/internal/direct/steer/choices_test.go
+++ b/internal/direct/steer/choices_test.go
@@ -12,6 +12,9 @@
 // loads has the open requests of targets.
 type loads map[directory.Token]int
 
+// Known implements Loads.
+func (loads loads) Known() bool { return true }
+
 // Load implements Loads.
 func (loads loads) Load(token directory.Token) (int, time.Duration) { return loads[token], 0 }
 
--- a/internal/direct/steer/coldness.go
+++ b/internal/direct/steer/coldness.go
@@ -98,7 +98,7 @@
 	var choices choices
 	for _, target := range service.held {
 		if target.usable(now) {
-			choices.add(target, target.score(hash, now, table.options))
+			choices.add(target, target.score(hash, now, 1))
 		}
 	}
 	for _, target := range choices.targets[:choices.count] {
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -97,9 +97,16 @@
 		return table.openWithoutTargets(service, hash, segment, route, now)
 	}
 	var choices choices
-	service.rank(hash, now, table.options, &choices)
+	service.rank(hash, now, table.nearWeightOf(service), &choices)
 	choices.leastBusyFirst(table.options)
 	chosen, former := choices.pick(segment)
+	var spilled *record
+	if segment.Attempt == 0 {
+		spilled = table.spill(service, chosen, hash, now)
+	}
+	if spilled != nil {
+		chosen = spilled
+	}
 	open, serving := table.loadOf(chosen)
 	expected := chosen.expected(open, serving, route.objective)
 	late := open >= chosen.slots() && table.exceeds(expected, route)
@@ -114,6 +121,7 @@
 	decision.Open = open
 	decision.Expected = expected
 	decision.Objective = route.objective
+	decision.Place = placeOf(chosen, spilled != nil)
 	if former != 0 && former != chosen.Token && now.Sub(table.servingSince) > copiesSpan {
 		decision.Suspect = former
 	}
--- /dev/null
+++ b/internal/direct/steer/locality.go
@@ -0,0 +1,104 @@
+package steer
+
+import (
+	"math"
+	"time"
+)
+
+// Near targets first, the surplus elsewhere. The load it answers is demand that differs by
+// zone, and zones that are cut off: a flow that crosses zones without need is lost when they
+// part, and one that stays beside a full target waits while others are idle.
+//
+// Nothing is agreed on between balancers. Each flow is decided by what its balancer knows of
+// a few targets, so that the surplus alone crosses, in proportion to it, and comes back flow
+// by flow as near targets get room: there is no share that could swing.
+
+const (
+	// blindNearWeight is the weight of near targets for a balancer that does not know how
+	// busy targets are. It would not see a zone fill up, and so leaves a part of its flows
+	// to other zones always.
+	blindNearWeight = 4
+	// mostShare is how many times its part of the capacity a zone's targets may get of the
+	// zone's flows by preference alone, if zones ask alike: with the double, targets that
+	// are a third used have room nearly always. A zone that has few targets, as within a
+	// release or after losses, could not bear all of its callers.
+	mostShare = 2
+	// spillFrom is the pressure of the least busy near candidate from which other zones are
+	// looked at: it has no idle slot, so that a request would wait for another one's work,
+	// tens of milliseconds, where the way to another zone takes about one.
+	spillFrom = 1.0
+	// spillRatio is the most that a target elsewhere may be pressed, relative to the near
+	// one: half, so that at least half of the wait is saved. Where all zones are as full,
+	// crossing gains nothing and is not done for chance differences.
+	spillRatio = 0.5
+)
+
+// nearWeightOf returns the weight of a service's near targets against others.
+func (table *Table) nearWeightOf(service *service) float64 {
+	weight := table.options.NearWeight
+	if table.options.Loads == nil || !table.options.Loads.Known() {
+		weight = min(weight, blindNearWeight)
+	}
+	return min(weight, service.mostNearWeight)
+}
+
+// measureZones settles the greatest weight of near targets with which they get no more than
+// mostShare allows.
+func (service *service) measureZones() {
+	near := 0
+	capacities := make(map[string]int)
+	for _, target := range service.targets {
+		capacities[target.Zone] += target.slots()
+		if target.near {
+			near += target.slots()
+		}
+	}
+	total := 0
+	for _, capacity := range capacities {
+		total += capacity
+	}
+	service.mostNearWeight = math.Inf(1)
+	share := mostShare * float64(near) * float64(len(capacities)) / float64(total)
+	if near == 0 || share >= 1 {
+		return
+	}
+	elsewhere := float64(total - near)
+	service.mostNearWeight = max(share/(1-share)*elsewhere/float64(near), 1)
+}
+
+// spill returns the target elsewhere that a new flow goes to because the chosen near one has
+// no idle slot, or nil where it stays.
+func (table *Table) spill(service *service, chosen *record, hash uint64, now time.Time) *record {
+	if !chosen.near || table.options.SpillCandidates == 0 || table.options.Loads == nil {
+		return nil
+	}
+	pressure := table.pressureOf(chosen)
+	if pressure < spillFrom {
+		return nil
+	}
+	var elsewhere choices
+	service.rankElsewhere(hash, now, &elsewhere)
+	var least *record
+	lowest := pressure * spillRatio
+	for _, target := range elsewhere.targets[:min(elsewhere.count, table.options.SpillCandidates)] {
+		other := table.pressureOf(target)
+		if other < lowest || least == nil && other == lowest {
+			least, lowest = target, other
+		}
+	}
+	return least
+}
+
+func (table *Table) pressureOf(target *record) float64 {
+	open, _ := table.options.Loads.Load(target.Token)
+	return target.pressure(open)
+}
+
+// rankElsewhere fills choices with the best targets of other zones for the hash.
+func (service *service) rankElsewhere(hash uint64, now time.Time, choices *choices) {
+	for _, target := range service.targets {
+		if !target.near && target.usable(now) {
+			choices.add(target, target.score(hash, now, 1))
+		}
+	}
+}
--- a/internal/direct/steer/options.go
+++ b/internal/direct/steer/options.go
@@ -18,9 +18,14 @@
 	// Self is the balancer's name.
 	Self model.NodeName
 	// Zone is the balancer's zone. Targets of the same zone get NearWeight
-	// times as many of its new flows as others of the same capacity.
+	// times as many of its new flows as others of the same capacity, while they have
+	// room; one is no preference.
 	Zone       string
 	NearWeight float64
+	// SpillCandidates is the number of targets of other zones among which the least busy
+	// one gets a new flow that near targets have no room for; zero keeps it near. It is
+	// at most choicesKept.
+	SpillCandidates int
 	// Regions has the region of each zone by its name. A target whose zone is not in it
 	// serves no route that is bound to regions.
 	Regions map[string]string
@@ -38,6 +43,8 @@
 // Loads tells how busy targets are, as far as is known. It may be called from
 // any goroutine.
 type Loads interface {
+	// Known tells whether anything is known.
+	Known() bool
 	// Load returns the number of requests that are open at the target, and how
 	// long it takes with one when it is idle; zero when that is not known.
 	Load(token directory.Token) (open int, serving time.Duration)
@@ -51,8 +58,11 @@
 	return Options{
 		FreshFor:   1500 * time.Millisecond,
 		AvoidFor:   3 * time.Second,
-		NearWeight: 4,
-		Candidates: 3,
-		AdmitShare: 0.6,
+		NearWeight: 64,
+		// As many as near ones, and as few, so that balancers with the same counts
+		// choose different ones.
+		SpillCandidates: 3,
+		Candidates:      3,
+		AdmitShare:      0.6,
 	}
 }
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -131,6 +131,43 @@
 	return reasons
 }
 
+// Place tells where a new flow's target lies. The values are stable; they name metrics.
+type Place uint8
+
+// The places.
+const (
+	// PlaceElsewhere: in another zone than the balancer, by hash.
+	PlaceElsewhere Place = iota
+	// PlaceNear: in the balancer's zone.
+	PlaceNear
+	// PlaceSpilled: in another zone, because near targets had no room.
+	PlaceSpilled
+	placeCount
+)
+
+var placeNames = [placeCount]string{"elsewhere", "near", "spilled"}
+
+// String returns the place's stable name.
+func (place Place) String() string {
+	if place >= placeCount {
+		return "unknown"
+	}
+	return placeNames[place]
+}
+
+// Places returns all places.
+func Places() []Place { return []Place{PlaceElsewhere, PlaceNear, PlaceSpilled} }
+
+func placeOf(target *record, spilled bool) Place {
+	switch {
+	case spilled:
+		return PlaceSpilled
+	case target.near:
+		return PlaceNear
+	}
+	return PlaceElsewhere
+}
+
 // Decision is the outcome for one packet.
 type Decision struct {
 	Action Action
@@ -154,6 +191,8 @@
 	// Objective is the objective of the flow's route, zero for none; set with
 	// ReasonChosen.
 	Objective time.Duration
+	// Place tells where the target lies; set with ReasonChosen.
+	Place Place
 	// EvacuatedSince is the revision of the latest order that emptied a zone of the
 	// service; set with ReasonEvacuated.
 	EvacuatedSince model.Revision
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -54,6 +54,8 @@
 	// evacuatedSince is the revision of the latest order that emptied a zone in which
 	// the service has targets; zero without one.
 	evacuatedSince model.Revision
+	// mostNearWeight bounds the weight of near targets against others.
+	mostNearWeight float64
 	// capacity is the sum of the targets' capacities.
 	capacity   int
 	congestion *congestion
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,6 +74,14 @@
 	// PeerFollowers bounds the balancers that a balancer feeds. Zero, or no
 	// listen address, feeds none.
 	PeerFollowers int `koanf:"peer_followers" validate:"min=0,max=10000"`
+	// NearWeight is how many times as many new flows a target of the balancer's own
+	// zone gets as one of another zone, while it has room; one is no preference. A
+	// zone's flows that stay in it are not lost when it is cut off.
+	NearWeight float64 `koanf:"near_weight" validate:"min=1,max=10000"`
+	// SpillCandidates is the number of targets of other zones among which a balancer
+	// gives a new flow to the least busy one while those of its own zone have no idle
+	// slot; zero keeps all flows near.
+	SpillCandidates int `koanf:"spill_candidates" validate:"min=0,max=8"`
 	// LoadCandidates is the number of targets among which a balancer gives a
 	// new flow to the least busy one; one chooses by hash alone.
 	LoadCandidates int `koanf:"load_candidates" validate:"min=1,max=8"`
@@ -372,6 +380,8 @@
 			LinkShare:         0.9,
 			LinkOverhead:      66,
 			LinkAdmission:     0.5,
+			NearWeight:        64,
+			SpillCandidates:   3,
 			LoadCandidates:    3,
 			LoadAdmission:     0.6,
 			LoadInterval:      40 * time.Millisecond,
