Withdraw requests whose flows routers moved, instead of taking them for unanswered

Cause: routers that hash over the balancers which are in move nearly all flows when one comes or goes. The requests under way end through other balancers; here they counted as open for a second and then as unanswered. While balancers are restarted one after the other, twice as many requests seemed open as targets hold, and balancers lost their trust in the counts, with which they choose, spill and admit.

Change: a request on a flow that this balancer did not know is a sign of a move; seven in a row are one. Requests whose last packet came before it are withdrawn, and samples of flows from before it show no gaps.

Ruled out: a shorter time until a request hangs, which would give up requests of slow targets.

--- a/internal/direct/requests/watcher.go
+++ b/internal/direct/requests/watcher.go
@@ -134,6 +134,8 @@
 	lock     sync.Mutex
 	requests map[flowKey]request
 	samples  map[flowKey]sample
+	// remembered has the fingerprints of known flows.
+	remembered [flowsRemembered]uint32
 }
 
 // Watcher is the controller that follows requests.
@@ -142,6 +144,7 @@
 	shards    [shardCount]shard
 	sizes     SizeObserver
 	answers   AnswerObserver
+	moves     moves
 }
 
 // NewWatcher returns a watcher that tells the listeners.
@@ -167,6 +170,7 @@
 	shard := watcher.shard(key)
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
+	shard.remember(key)
 	open, known := shard.requests[key]
 	switch {
 	case known && open.target == target:
@@ -201,7 +205,7 @@
 	shard := watcher.shard(key)
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
-	if whole, told := shard.check(key, segment, now); told {
+	if whole, told := shard.check(key, segment, watcher.moves.last(), now); told {
 		watcher.continued(whole)
 	}
 	open, known := shard.requests[key]
@@ -239,6 +243,9 @@
 		watcher.askMore(shard, key, open, segment, now)
 		return
 	}
+	if familiar := shard.remember(key); !known {
+		watcher.moves.note(!familiar, now)
+	}
 	if !known && len(shard.requests) >= flowsKept/shardCount {
 		return
 	}
@@ -306,18 +313,24 @@
 // Name implements board.Controller.
 func (watcher *Watcher) Name() string { return "requests" }
 
-// Reconcile implements board.Controller. It ends requests that are overdue.
+// Reconcile implements board.Controller. It ends requests that are overdue, and withdraws
+// those that went on through other balancers since routers moved their flows.
 func (watcher *Watcher) Reconcile(now time.Time) {
+	movedAt := watcher.moves.last()
 	for index := range watcher.shards {
-		watcher.sweep(&watcher.shards[index], now)
+		watcher.sweep(&watcher.shards[index], movedAt, now)
 	}
 }
 
-func (watcher *Watcher) sweep(shard *shard, now time.Time) {
+func (watcher *Watcher) sweep(shard *shard, movedAt, now time.Time) {
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
 	shard.dropRested(now)
 	for key, open := range shard.requests {
+		if open.lastAt().Before(movedAt) {
+			watcher.end(shard, key, open, Withdrawn, now)
+			continue
+		}
 		if ending, over := open.overdue(now); over {
 			watcher.end(shard, key, open, ending, now)
 		}
--- a/internal/direct/requests/watcher_test.go
+++ b/internal/direct/requests/watcher_test.go
@@ -371,3 +371,63 @@
 		watcher.Note(answer.segment, answer.target, start)
 	}
 }
+
+// TestRequestsOfMovedFlowsAreNotTakenForUnanswered is what routers do that hash over the
+// balancers that are in: when one comes or goes, nearly all flows go to other balancers. Of
+// the requests under way this one never sees the end; those that come then are of flows that
+// it did not open.
+func TestRequestsOfMovedFlowsAreNotTakenForUnanswered(t *testing.T) {
+	book := newBook()
+	watcher := NewWatcher(book)
+	const flows = 20
+	for port := uint16(1); port <= flows; port++ {
+		watcher.Placed(opens(port), targetOf(7), start)
+		watcher.Note(asks(port, 1, 1).segment, targetOf(7), start)
+	}
+	moved := start.Add(200 * time.Millisecond)
+	for port := uint16(101); port <= 100+flows; port++ {
+		watcher.Note(asks(port, 1, 1).segment, targetOf(7), moved)
+	}
+	watcher.Reconcile(moved.Add(time.Millisecond))
+	require.Equal(t, flows, book.open[7], "what came since the move is open here")
+	require.Equal(t, flows, book.withdrawn[7])
+	require.Zero(t, book.unanswered[7])
+	for port := uint16(101); port <= 100+flows; port++ {
+		watcher.Note(acknowledges(port, 100, 50).segment, targetOf(7), moved)
+	}
+	require.Equal(t, flows, book.answered[7])
+}
+
+// TestAFewUnknownFlowsAreNoMove: callers whose opening packet went another way.
+func TestAFewUnknownFlowsAreNoMove(t *testing.T) {
+	book := newBook()
+	watcher := NewWatcher(book)
+	for port := uint16(1); port <= 60; port++ {
+		if port%3 > 0 {
+			watcher.Placed(opens(port), targetOf(7), start)
+		}
+		watcher.Note(asks(port, 1, 1).segment, targetOf(7), start)
+	}
+	watcher.Reconcile(start.Add(HangAfter - time.Millisecond))
+	require.Equal(t, 60, book.open[7])
+	watcher.Reconcile(start.Add(HangAfter))
+	require.Equal(t, 60, book.unanswered[7], "they hang")
+}
+
+// TestFlowsThatComeBackShowNoGaps: a flow that routers moved away and back lacks what it
+// brought meanwhile.
+func TestFlowsThatComeBackShowNoGaps(t *testing.T) {
+	book := newBook()
+	watcher := NewWatcher(book)
+	for port := uint16(1); port <= 20; port++ {
+		watcher.Note(asks(port, 1, 1).segment, targetOf(7), start)
+	}
+	away := start.Add(time.Second)
+	for port := uint16(101); port <= 120; port++ {
+		watcher.Note(asks(port, 1, 1).segment, targetOf(7), away)
+	}
+	for port := uint16(1); port <= 20; port++ {
+		watcher.Note(asks(port, 5000, 900).segment, targetOf(7), away.Add(time.Second))
+	}
+	require.Zero(t, book.gaps)
+}
