Know a rush within half a second, and the serving time of a service by its least

Cause, by a trace of what balancers know at three times the traffic: a rush was shared after one to two seconds, because reports, looks and their average took half a second each; all that time balancers took full targets for idle. Answers of that time, and of those in which members were away, taught them that an idle target takes 150 ms where it takes 55. They then refused flows beside idle slots for ten seconds. Balancers that started under load never learned at all.

Change: calm reports each 200 ms; all slots taken are shared without averaging; the serving time of a service is the least mean of blocks of answers (as the windowed minimum of BBR), by the crowd that a request met; members tell the median of what their balancers saw.

--- a/internal/direct/load/book.go
+++ b/internal/direct/load/book.go
@@ -28,6 +28,8 @@
 	// serving is the average time from the data of a request to the caller's
 	// acknowledgement of the answer on an idle target.
 	serving average
+	// peak is the most that was open since this balancer last had none here.
+	peak int
 	// used tells that the count changed since the last search for idle ones.
 	used bool
 }
@@ -73,6 +75,16 @@
 	known.own += own
 	known.others += others
 	known.used = true
+	known.notePeak()
+}
+
+// notePeak keeps the most that was open while this balancer has requests there.
+func (count *count) notePeak() {
+	if count.own <= 0 {
+		count.peak = 0
+		return
+	}
+	count.peak = max(count.peak, count.own+count.others)
 }
 
 // Began implements requests.Listener.
@@ -96,6 +108,7 @@
 		}
 	}
 	known.own--
+	known.notePeak()
 }
 
 // Receiving implements requests.Listener. A request whose data still comes takes
@@ -116,11 +129,13 @@
 const learnedCrowd = 2
 
 // learn takes an answer into the serving time. A request that shared the target
-// with more than it works on at once waited for its part of the time. It returns
-// what the request would have taken alone, and false when the target was too full to
-// tell.
+// with more than it works on at once waited for its part of the time. What counts is
+// the most that was open since it began, and not what is left when its answer comes:
+// while a rush ends, the latter made an idle target's time seem two and a half times as
+// long, so that flows were refused beside idle slots. It returns what the request would
+// have taken alone, and false when the target was too full to tell.
 func (count *count) learn(took time.Duration, capacity int) (alone float64, clear bool) {
-	crowd := max(float64(count.own+count.others)/float64(max(capacity, 1)), 1)
+	crowd := max(float64(count.peak)/float64(max(capacity, 1)), 1)
 	if crowd > learnedCrowd {
 		return 0, false
 	}
--- a/internal/direct/load/collector.go
+++ b/internal/direct/load/collector.go
@@ -64,6 +64,8 @@
 	balancers map[model.NodeName]heard
 	members   map[model.NodeName]heard
 	toldAt    time.Time
+	// servingToldAt is when balancers were last told serving times.
+	servingToldAt time.Time
 	// own and all are the sums of the balancers here and everywhere. Their memory
 	// is used again.
 	own map[directory.Token]int
@@ -113,6 +115,10 @@
 	told := heard{entries: report.Entries.sound(), until: now.Add(silentPauses * max(calmInterval, collector.pause(now)))}
 	switch report.Scope {
 	case ScopeBalancer:
+		told.serving = report.Serving
+		if len(told.serving) == 0 {
+			told.serving = collector.balancers[from].serving
+		}
 		collector.balancers[from] = told
 	case ScopeFollowers:
 		collector.members[from] = told
@@ -193,10 +199,23 @@
 		return
 	}
 	collector.outlet.Tell(slices.Sorted(maps.Keys(collector.balancers)), Report{
-		Scope: ScopeSystem, Entries: entriesOf(collector.all), Wanted: true, Pause: collector.pause(now),
+		Scope: ScopeSystem, Entries: entriesOf(collector.all), Wanted: true, Pause: collector.pause(now), Serving: collector.serving(now),
 	})
 }
 
+// serving returns the serving times to tell, none until they are due again.
+func (collector *Collector) serving(now time.Time) []ServingTime {
+	if now.Sub(collector.servingToldAt) < servingInterval {
+		return nil
+	}
+	collector.servingToldAt = now
+	told := make([][]ServingTime, 0, len(collector.balancers))
+	for _, balancer := range collector.balancers {
+		told = append(told, balancer.serving)
+	}
+	return medians(told)
+}
+
 // entriesOf returns the sums in the order of their tokens.
 func entriesOf(sums map[directory.Token]int) Entries {
 	entries := make(Entries, 0, len(sums))
--- a/internal/direct/load/collector_test.go
+++ b/internal/direct/load/collector_test.go
@@ -122,6 +122,26 @@
 	}
 }
 
+// TestARushIsKnownWithinHalfASecond: callers come in numbers from one moment to the next,
+// at any moment between two reports. Until balancers know of each other's requests, all of
+// them take targets for idle.
+func TestARushIsKnownWithinHalfASecond(t *testing.T) {
+	for phase := time.Duration(0); phase < 600*time.Millisecond; phase += 50 * time.Millisecond {
+		site := newSite(3, 20, 100)
+		for _, balancer := range site.balancers {
+			begin(balancer, 8, 1)
+		}
+		site.run(10*time.Second + phase)
+		for _, balancer := range site.balancers {
+			begin(balancer, 7, 5)
+		}
+		site.run(500 * time.Millisecond)
+		for _, balancer := range site.balancers {
+			require.Equal(t, 100, openAt(balancer, 7), "%s, %s after a report", balancer.mailbox.Self, phase)
+		}
+	}
+}
+
 func TestACalmLargeSystemSaysLittle(t *testing.T) {
 	site := newSite(3, 20, 1000)
 	begin(site.balancers[0], 7, 10)
--- a/internal/direct/load/demand.go
+++ b/internal/direct/load/demand.go
@@ -10,6 +10,10 @@
 	// load: below, a target by hash has room nearly always, and sharing costs
 	// more than it brings.
 	sharedFrom = 0.5
+	// sharedAtOnceFrom is the utilization from which load is shared without averaging:
+	// requests wait already, and each moment in which balancers do not know of each other
+	// sends more to full targets.
+	sharedAtOnceFrom = 1.0
 	// demandSpan is the time over which the utilization is averaged.
 	demandSpan = 400 * time.Millisecond
 	// demandLasts is how long balancers go on sharing after the last sign that
@@ -64,7 +68,7 @@
 		kept := math.Exp(-float64(passed) / float64(demandSpan))
 		demand.average = kept*demand.average + (1-kept)*utilization
 	}
-	if demand.average >= sharedFrom {
+	if demand.average >= sharedFrom || utilization >= sharedAtOnceFrom {
 		demand.foundAt = now
 	}
 }
--- a/internal/direct/load/exchange.go
+++ b/internal/direct/load/exchange.go
@@ -22,8 +22,12 @@
 	silentAfter  = 700 * time.Millisecond
 	silentPauses = 3
 	// calmInterval is the time between two reports to a collector while sharing
-	// the load is not worth more.
-	calmInterval = 500 * time.Millisecond
+	// the load is not worth more. A rush is seen within two of them, and a report of a
+	// few open requests takes some 60 bytes, so that they cost 0.6 KB a second.
+	calmInterval = 200 * time.Millisecond
+	// servingInterval is the time between two reports with serving times, which take some
+	// 30 bytes for a service.
+	servingInterval = time.Second
 	// forgetInterval is the time between two searches for idle targets.
 	forgetInterval = 10 * time.Second
 )
@@ -64,6 +68,8 @@
 type heard struct {
 	entries Entries
 	until   time.Time
+	// serving has the serving times that the node told last.
+	serving []ServingTime
 }
 
 // Exchange is the controller that tells other balancers of this one's open
@@ -91,6 +97,8 @@
 	openBy      map[string]int
 	toldAt      time.Time
 	forgottenAt time.Time
+	// servingToldAt is when a collector was last told serving times.
+	servingToldAt time.Time
 }
 
 // NewExchange returns the controller that takes reports from a queue.
@@ -175,6 +183,9 @@
 		exchange.forgetOthers(from)
 		silent := max(silentAfter, silentPauses*exchange.pause)
 		exchange.take(from, report.Entries.sound().without(exchange.told), now.Add(silent))
+		if len(report.Serving) > 0 {
+			exchange.book.services.hear(report.Serving)
+		}
 	default:
 		return
 	}
@@ -267,5 +278,10 @@
 	exchange.entries.sort()
 	exchange.told, exchange.entries = exchange.entries, exchange.told
 	exchange.toldAt = now
-	exchange.outlet.Tell([]model.NodeName{collector}, Report{Entries: exchange.told})
+	report := Report{Entries: exchange.told}
+	if now.Sub(exchange.servingToldAt) >= servingInterval {
+		exchange.servingToldAt = now
+		report.Serving = exchange.book.services.all()
+	}
+	exchange.outlet.Tell([]model.NodeName{collector}, report)
 }
--- a/internal/direct/load/load_test.go
+++ b/internal/direct/load/load_test.go
@@ -293,6 +293,29 @@
 	require.Greater(t, book.Typical("feed"), 70*time.Millisecond, "its service is known well enough")
 }
 
+// TestTheEndOfARushTeachesNoLongServingTimes: ten requests came at once to a target that
+// works on two, and each took as long as those before it; the last ones are answered while
+// next to nothing is open any more.
+func TestTheEndOfARushTeachesNoLongServingTimes(t *testing.T) {
+	target := requests.Target{Token: 7, Service: "feed", Capacity: 2}
+	book := NewBook()
+	const rush, each = 10, 40 * time.Millisecond
+	for range leastAnswers {
+		for range rush {
+			book.Began(target)
+		}
+		for answered := range rush {
+			book.Ended(target, requests.Answered, each*time.Duration(answered/2+1))
+		}
+	}
+	require.Zero(t, book.Typical("feed"), "the target was too full to tell")
+	for range leastAnswers {
+		book.Began(target)
+		book.Ended(target, requests.Answered, each)
+	}
+	require.InDelta(t, each, book.Typical("feed"), 1)
+}
+
 func TestIdleTargetsLeaveNothingBehind(t *testing.T) {
 	one := newNode("a", interval, "b")
 	begin(one, 7, 1)
@@ -314,20 +337,67 @@
 	}
 }
 
+// learner is an estimate of serving times.
+type learner interface {
+	time() time.Duration
+}
+
 // The first answers weigh alike: one that is out of the ordinary must not last.
 func TestTheFirstAnswersWeighAlike(t *testing.T) {
-	for name, weight := range map[string]float64{"target": targetWeight, "service": serviceWeight} {
+	target, service := &average{}, newFloor()
+	for name, learned := range map[string]struct {
+		estimate learner
+		learn    func(alone time.Duration)
+	}{
+		"target":  {target, func(alone time.Duration) { target.learn(float64(alone), targetWeight) }},
+		"service": {service, func(alone time.Duration) { service.learn(float64(alone)) }},
+	} {
 		t.Run(name, func(t *testing.T) {
-			var serving average
-			serving.learn(float64(240*time.Millisecond), weight)
+			learned.learn(240 * time.Millisecond)
 			for range leastAnswers - 1 {
-				serving.learn(float64(40*time.Millisecond), weight)
+				learned.learn(40 * time.Millisecond)
 			}
-			require.InDelta(t, 65*time.Millisecond, serving.time(), float64(time.Millisecond), "their mean")
+			require.InDelta(t, 65*time.Millisecond, learned.estimate.time(), float64(time.Millisecond), "their mean")
 			for range 30 {
-				serving.learn(float64(40*time.Millisecond), weight)
+				learned.learn(40 * time.Millisecond)
 			}
-			require.Less(t, serving.time(), 50*time.Millisecond)
+			require.Less(t, learned.estimate.time(), 50*time.Millisecond)
 		})
 	}
 }
+
+// TestARushThatNobodyCountsDoesNotTeach: while the members are away, balancers do not know
+// how crowded targets are, and answers that waited for others seem to be those of slow ones.
+func TestARushThatNobodyCountsDoesNotTeach(t *testing.T) {
+	service := newFloor()
+	for range 2 * blockAnswers {
+		service.learn(float64(40 * time.Millisecond))
+	}
+	for range 20 * blockAnswers {
+		service.learn(float64(200 * time.Millisecond))
+	}
+	require.Equal(t, 40*time.Millisecond, service.time())
+	for range 2 * windowBlocks * blockAnswers {
+		service.learn(float64(80 * time.Millisecond))
+	}
+	require.Equal(t, 80*time.Millisecond, service.time(), "it follows a service that turns slow")
+}
+
+// TestABalancerThatStartsUnderLoadHearsServingTimes: all that it sees itself are answers of
+// crowded targets.
+func TestABalancerThatStartsUnderLoadHearsServingTimes(t *testing.T) {
+	site := newSite(3, 20, 10)
+	target := requests.Target{Token: 7, Service: "first", Capacity: 2}
+	for _, balancer := range site.balancers[1:] {
+		for range blockAnswers {
+			balancer.book.Began(target)
+			balancer.book.Ended(target, requests.Answered, 40*time.Millisecond)
+		}
+		begin(balancer, 7, 1)
+	}
+	begin(site.balancers[0], 7, 1)
+	require.Zero(t, site.balancers[0].book.Typical("first"))
+	site.run(settled + 2*servingInterval)
+	require.InDelta(t, 40*time.Millisecond, site.balancers[0].book.Typical("first"), 1)
+	require.Zero(t, site.balancers[0].book.Typical("second"))
+}
--- a/internal/direct/load/report.go
+++ b/internal/direct/load/report.go
@@ -33,6 +33,9 @@
 	Entries Entries
 	// Wanted tells that the sender itself finds that the load should be shared.
 	Wanted bool
+	// Serving has the serving times of services, as the balancer saw them or as the
+	// member's balancers did in the median; none in most reports, which changes nothing.
+	Serving []ServingTime
 	// Pause is how long balancers are to wait between two reports; set with
 	// ScopeSystem.
 	Pause time.Duration
