Refuse the less urgent first, by what targets hold

Cause: a stricter share of the objective for lower priorities changed nothing in who is refused. The share was compared with a time that full targets never reach, since they hold ten requests for two slots and turn the others away whatever their priority; and one measure of congestion for all priorities, over two seconds, refused the urgent for what the less urgent met.

Change: each rank has its own congestion, over half a second; lower ranks are left 0.65 of the time and 0.7 of the requests that a target may hold for the most urgent, five a slot (direct.load_crowd).

--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -77,6 +77,7 @@
 	options.NearWeight = chosen.Direct.NearWeight
 	options.SpillCandidates = chosen.Direct.SpillCandidates
 	options.Candidates = chosen.Direct.LoadCandidates
+	options.FullCrowd = chosen.Direct.LoadCrowd
 	options.AdmitShare = chosen.Direct.LoadAdmission
 	options.Loads = book
 	return steer.NewTable(options)
--- a/internal/direct/steer/admission.go
+++ b/internal/direct/steer/admission.go
@@ -10,8 +10,30 @@
 const assumedParts = 4
 
 // rankShare is the part of AdmitShare that is left for routes of the next lower
-// priority, so that they are refused first.
-const rankShare = 0.8
+// priority, so that they are refused first. Targets hold a few requests for each slot and
+// turn further ones away whatever their priority; with two thirds, the less urgent stop
+// while the queue still has room for the urgent ones and for requests on open flows, which
+// cannot be refused.
+const rankShare = 0.65
+
+// crowdShare is the part of Options.FullCrowd that is left for routes of the next lower
+// priority: seven requests for two slots where the most urgent may find ten.
+const crowdShare = 0.7
+
+// ranksKept is the number of priorities whose congestion is told apart; lower ones count
+// as the last of them.
+const ranksKept = 8
+
+// congestions has the congestion of a service as routes of each rank see it. Each rank has
+// one of its own: a lower one finds a service full while a higher one still has room, and
+// whether it does must not make the higher one be refused.
+type congestions [ranksKept]congestion
+
+// observe takes in whether a new flow of a rank is expected to miss its share of the
+// objective, and returns whether the service is congested for that rank.
+func (congestions *congestions) observe(rank int, late bool, now time.Time) bool {
+	return congestions[min(rank, ranksKept-1)].observe(late, now)
+}
 
 // slots is the number of requests that the target works on at once, one at the
 // least.
@@ -27,12 +49,24 @@
 	return time.Duration(crowd * float64(serving))
 }
 
+// late tells whether a further request of the route would find the target too full: no slot
+// is idle, and it would miss its share of the objective or be turned away.
+func (table *Table) late(target *record, open int, expected time.Duration, route route) bool {
+	if open < target.slots() || route.objective == 0 || table.options.AdmitShare == 0 {
+		return false
+	}
+	return table.exceeds(expected, route) || table.crowded(target, open, route)
+}
+
+// crowded tells whether the target would hold more than it may for the route's priority.
+func (table *Table) crowded(target *record, open int, route route) bool {
+	most := table.options.FullCrowd * math.Pow(crowdShare, float64(route.rank))
+	return most > 0 && float64(open+1) > most*float64(target.slots())
+}
+
 // exceeds tells whether a request that takes as long would miss the share of the
 // route's objective that is allowed.
 func (table *Table) exceeds(expected time.Duration, route route) bool {
-	if route.objective == 0 || table.options.AdmitShare == 0 {
-		return false
-	}
 	share := table.options.AdmitShare * math.Pow(rankShare, float64(route.rank))
 	return float64(expected) > share*float64(route.objective)
 }
--- a/internal/direct/steer/admission_test.go
+++ b/internal/direct/steer/admission_test.go
@@ -89,6 +89,11 @@
 		{"a slow service whose target is not known", busy{open: 5, typical: 50 * time.Millisecond}, long, to(443), nil, ReasonOverloaded},
 		{"a slow service with an idle target", busy{open: 1, serving: time.Minute}, long, to(443), nil, ReasonChosen},
 		{"less urgent", busy{open: 3, serving: 50 * time.Millisecond}, long, to(444), nil, ReasonOverloaded},
+		{"more than targets hold", busy{open: 10, serving: 10 * time.Millisecond}, long, to(443), nil, ReasonOverloaded},
+		{"as much as targets hold", busy{open: 9, serving: 10 * time.Millisecond}, long, to(443), nil, ReasonChosen},
+		{"less urgent, as much as they hold for it", busy{open: 6, serving: 10 * time.Millisecond}, long, to(444), nil, ReasonChosen},
+		{"less urgent, more than they hold for it", busy{open: 7, serving: 10 * time.Millisecond}, long, to(444), nil, ReasonOverloaded},
+		{"no bound on what targets hold", busy{open: 11, serving: 10 * time.Millisecond}, long, to(443), func(options *Options) { options.FullCrowd = 0 }, ReasonChosen},
 		{"no objective", busy{open: 50, serving: 50 * time.Millisecond}, long, Segment{Caller: opening(9).Caller, Service: noRoute, Opening: true}, nil, ReasonChosen},
 		{"admission switched off", busy{open: 50, serving: time.Second}, long, to(443), func(options *Options) { options.AdmitShare = 0 }, ReasonChosen},
 	}
@@ -106,6 +111,37 @@
 	}
 }
 
+// TestTheLessUrgentAreRefusedBeforeTheUrgent is the load of callers of two priorities who
+// together ask for more than the targets bear. What is open rises until the less urgent are
+// refused wholly; up to there no urgent one is.
+func TestTheLessUrgentAreRefusedBeforeTheUrgent(t *testing.T) {
+	load := &busy{serving: 30 * time.Millisecond}
+	table := admissionTable(t, load, nil)
+	urgent, lessUrgent := opening(9), opening(9)
+	lessUrgent.Service = lateRoute
+	refusedAt := func(segment Segment) int {
+		for load.open = 0; load.open < 40; load.open++ {
+			from := start.Add(time.Duration(load.open) * 3 * congestionSpan)
+			both := func(at time.Time) Decision {
+				_ = table.Decide(lessUrgent, at)
+				return table.Decide(segment, at)
+			}
+			var last Decision
+			for passed := time.Duration(0); passed < 3*congestionSpan; passed += 10 * time.Millisecond {
+				last = both(from.Add(passed))
+			}
+			if last.Reason == ReasonOverloaded {
+				return load.open
+			}
+		}
+		return 0
+	}
+	first := refusedAt(lessUrgent)
+	require.Equal(t, 5, first, "six requests in two slots of 30 ms take 90 ms, over 0.39 of 200 ms")
+	table = admissionTable(t, load, nil)
+	require.Equal(t, 8, refusedAt(urgent), "nine take 135 ms, over 0.6 of 200 ms")
+}
+
 func TestCongestionEndsWithItsCause(t *testing.T) {
 	load := &busy{open: 20, serving: 50 * time.Millisecond}
 	table := admissionTable(t, load, nil)
--- a/internal/direct/steer/congestion.go
+++ b/internal/direct/steer/congestion.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// congestionSpan is the time over which new flows of a service are averaged.
-	congestionSpan = 2 * time.Second
+	// congestionSpan is the time over which new flows of a service are averaged. Until a
+	// rush is taken for a lack of capacity, new flows go to full targets, which turn them
+	// away after a third of a second: with two seconds a quarter more of the tries.
+	congestionSpan = 500 * time.Millisecond
 	// congestedFrom is the part of new flows that are expected to miss their
 	// objective from which a service counts as congested. A backlog that goes away
 	// by itself, as after an outage, stays below.
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -109,8 +109,8 @@
 	}
 	open, serving := table.loadOf(chosen)
 	expected := chosen.expected(open, serving, route.objective)
-	late := open >= chosen.slots() && table.exceeds(expected, route)
-	congested := service.congestion.observe(late, now)
+	late := table.late(chosen, open, expected, route)
+	congested := service.congestion.observe(route.rank, late, now)
 	if congested && late && !segment.Seen {
 		if decision, opened := table.openCold(service, hash, segment, route, now); opened {
 			return decision
--- a/internal/direct/steer/options.go
+++ b/internal/direct/steer/options.go
@@ -36,6 +36,10 @@
 	// may be expected to take at the chosen target; else the flow has to wait or
 	// is refused. Zero admits all.
 	AdmitShare float64
+	// FullCrowd is how many requests for each of its slots a target may hold before new
+	// flows of the most urgent routes are refused, those of others from fewer on; zero
+	// bounds none.
+	FullCrowd float64
 	// Loads tells how busy targets are; nil when nobody knows.
 	Loads Loads
 }
@@ -64,5 +68,6 @@
 		SpillCandidates: 3,
 		Candidates:      3,
 		AdmitShare:      0.6,
+		FullCrowd:       5,
 	}
 }
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -58,7 +58,7 @@
 	mostNearWeight float64
 	// capacity is the sum of the targets' capacities.
 	capacity   int
-	congestion *congestion
+	congestion *congestions
 }
 
 // newService returns a service without targets that goes on from former, which
@@ -67,7 +67,7 @@
 	if former != nil {
 		return &service{congestion: former.congestion}
 	}
-	return &service{congestion: &congestion{}}
+	return &service{congestion: &congestions{}}
 }
 
 // Table is a balancer's copy of the directory. All methods may be called at
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,6 +89,11 @@
 	// of a new flow may be expected to take; a flow that would take longer waits
 	// for room and is refused then. Zero admits all flows.
 	LoadAdmission float64 `koanf:"load_admission" validate:"min=0,max=10"`
+	// LoadCrowd is how many requests for each of its slots a target may hold before new
+	// flows of the most urgent routes are refused, those of less urgent ones from fewer
+	// on. Targets queue a few requests and turn the others away, whatever their priority,
+	// so it is as much as they hold; zero bounds none.
+	LoadCrowd float64 `koanf:"load_crowd" validate:"min=0,max=1000"`
 	// LoadInterval is the least time between two reports of open requests, of
 	// balancers to each other or, in a large system, to members and back; zero
 	// shares none.
@@ -384,6 +389,7 @@
 			SpillCandidates:   3,
 			LoadCandidates:    3,
 			LoadAdmission:     0.6,
+			LoadCrowd:         5,
 			LoadInterval:      40 * time.Millisecond,
 			RenewalsPerSecond: 40,
 			ToleratedLosses:   1,
