Keep goodput when short datagrams alone fill a balancer's link

Cause: at five and six times the traffic the queue in front of the link grew to seconds of short datagrams. Opening packets waited until their callers had sent three, and then for nobody; acknowledgements, two thirds of what is sent on, waited behind each other though the last one says all.

Change: while it waits, an opening packet is replaced by its copy and an acknowledgement by a later one of its flow (RFC 3449, 5.2.1). A new flow is refused with a reset when the short datagrams that wait take the link more than 100 ms, half of the time after which senders repeat: refusing costs one datagram, a flow some ten, and what is open suffers else. Switched off with direct.link_admission 0.

Ruled out: dropping by time in the queue alone, which would lose requests of open flows.

--- a/internal/direct/balancernode/module.go
+++ b/internal/direct/balancernode/module.go
@@ -227,7 +227,7 @@
 func run(parts parts) {
 	parts.Readiness.Set(readinessPart, false)
 	parts.Metrics.counts = parts.Forwarder.Counts
-	parts.Admission.ObserveLink(parts.Forwarder.LinkIdle)
+	parts.Admission.ObserveLink(parts.Forwarder.Egress())
 	parts.Forwarder.ObserveWaits(func(waited time.Duration) { parts.Metrics.egressWait.Observe(waited.Seconds()) })
 	parts.Registry.MustRegister(parts.Metrics, parts.Metrics.tableAge, parts.Metrics.egressWait)
 	parts.Reloads.OnChange(func(changed settings.Settings) {
--- a/internal/direct/egress/egress.go
+++ b/internal/direct/egress/egress.go
@@ -4,7 +4,9 @@
 //
 // Short flows share the link fairly and go before long ones, which go one after
 // the other: an upload delays neither an opening packet nor a short request. Data
-// that its sender repeats while the first copy still waits is sent once.
+// that its sender repeats while the first copy still waits is sent once, and so are
+// opening packets; of the acknowledgements of a flow that wait, the latest is sent
+// (RFC 3449, section 5.2.1).
 package egress
 
 import (
@@ -27,7 +29,7 @@
 	Sent uint64
 	// Waited were not written at once.
 	Waited uint64
-	// Repeated carried data that waited already.
+	// Repeated made one needless that waited already, and took its place.
 	Repeated uint64
 	// Refused found the queue full.
 	Refused uint64
@@ -81,6 +83,18 @@
 	return egress.queue.empty()
 }
 
+// ShortWait returns how long the link takes for the content of short flows that waits; zero
+// on a link without a bound.
+func (egress *Egress) ShortWait() time.Duration {
+	egress.lock.Lock()
+	defer egress.lock.Unlock()
+	rate := egress.pacer.link.BytesPerSecond
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(egress.queue.short()) / rate * float64(time.Second))
+}
+
 // Send writes the datagram, at once when the link is free. It keeps a copy of
 // the content when it is not.
 func (egress *Egress) Send(datagram Datagram, now time.Time) {
--- a/internal/direct/egress/egress_test.go
+++ b/internal/direct/egress/egress_test.go
@@ -367,3 +367,72 @@
 		egress.Send(datagram, now)
 	}
 }
+
+// TestWhatWaitsIsNotRepeated: on a full link, copies of opening packets and acknowledgements
+// that a later one includes are not carried.
+func TestWhatWaitsIsNotRepeated(t *testing.T) {
+	acknowledges := func(port int, number uint32) Datagram {
+		return Datagram{Flow: flowOf(port), To: target, Acknowledges: true, Acknowledgement: number, Content: []byte{byte(number), 0}}
+	}
+	opens := func(port int, to netip.AddrPort, copies byte) Datagram {
+		return Datagram{Flow: flowOf(port), To: to, Opening: true, Content: []byte{copies, 1}}
+	}
+	elsewhere := netip.MustParseAddrPort("10.0.0.2:8080")
+	closing := Datagram{Flow: flowOf(2), To: target, Content: []byte{9, 2}}
+	cases := []struct {
+		name string
+		sent []Datagram
+		want []byte
+	}{
+		{"later acknowledgements", []Datagram{acknowledges(2, 10), acknowledges(2, 20), acknowledges(2, 20)}, []byte{20}},
+		{"an earlier acknowledgement", []Datagram{acknowledges(2, 20), acknowledges(2, 10)}, []byte{20, 10}},
+		{"acknowledgements of two flows", []Datagram{acknowledges(2, 10), acknowledges(3, 20)}, []byte{10, 20}},
+		{"an acknowledgement that also closes", []Datagram{acknowledges(2, 10), closing}, []byte{10, 9}},
+		{"copies of an opening packet", []Datagram{opens(2, target, 1), opens(2, elsewhere, 2)}, []byte{2}},
+		{"opening packets of two flows", []Datagram{opens(2, target, 1), opens(3, target, 2)}, []byte{1, 2}},
+		{"an opening packet and an acknowledgement", []Datagram{opens(2, target, 1), acknowledges(2, 10)}, []byte{1, 10}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			var carried []byte
+			egress := New(linkOf(narrow), func(content []byte, _ netip.AddrPort) {
+				if len(content) == 2 {
+					carried = append(carried, content[0])
+				}
+			})
+			for number := range uint32(4) {
+				egress.Send(data(1, number, largest), start)
+			}
+			for _, datagram := range test.sent {
+				egress.Send(datagram, start)
+			}
+			egress.Flush(start.Add(time.Second))
+			for at := start.Add(time.Second); egress.Flush(at) > 0; at = at.Add(time.Millisecond) {
+			}
+			require.Equal(t, test.want, carried)
+		})
+	}
+}
+
+// TestShortWaitCountsShortFlowsAlone: an upload in front of the link is none of it, from the
+// moment on at which it counts as long.
+func TestShortWaitCountsShortFlowsAlone(t *testing.T) {
+	egress := New(linkOf(narrow), func([]byte, netip.AddrPort) {})
+	for number := range uint32(20) {
+		egress.Send(data(1, number, largest), start)
+	}
+	now := start
+	for range 12 {
+		now = now.Add(egress.Flush(now))
+	}
+	require.Zero(t, egress.ShortWait())
+	for port := 2; port < 12; port++ {
+		egress.Send(data(port, 1, 325), now)
+	}
+	require.InDelta(t, 10*time.Millisecond, egress.ShortWait(), float64(time.Millisecond))
+	for wait := egress.Flush(now); wait > 0; wait = egress.Flush(now) {
+		now = now.Add(wait)
+	}
+	require.Zero(t, egress.ShortWait())
+	require.True(t, egress.Idle())
+}
--- a/internal/direct/egress/queue.go
+++ b/internal/direct/egress/queue.go
@@ -22,16 +22,30 @@
 	// sequence is a repetition.
 	Sequence uint32
 	HasData  bool
-	Content  []byte
+	// Opening tells that the datagram is an opening packet. A later one of the same flow
+	// is a repetition, wherever it goes.
+	Opening bool
+	// Acknowledges tells that the datagram does nothing but acknowledge what comes before
+	// Acknowledgement. A later one of the same flow says the same and more.
+	Acknowledges    bool
+	Acknowledgement uint32
+	Content         []byte
 	// since is when the datagram began to wait.
 	since time.Time
 }
 
-// repeats tells whether other carries the same data to the same place.
+// repeats tells whether other makes the datagram, of the same flow, needless: it carries the
+// same data to the same place, opens the flow again, or acknowledges as much or more.
 func (datagram *Datagram) repeats(other *Datagram) bool {
-	return datagram.HasData && other.HasData &&
-		datagram.Sequence == other.Sequence &&
-		datagram.To == other.To
+	switch {
+	case datagram.Opening || other.Opening:
+		return datagram.Opening && other.Opening
+	case datagram.To != other.To:
+		return false
+	case datagram.Acknowledges || other.Acknowledges:
+		return datagram.Acknowledges && other.Acknowledges && int32(other.Acknowledgement-datagram.Acknowledgement) >= 0
+	}
+	return datagram.HasData && other.HasData && datagram.Sequence == other.Sequence
 }
 
 const (
@@ -66,6 +80,15 @@
 	emptiedAt time.Time
 }
 
+// bytes returns the sum of the contents that wait.
+func (waiting *flowQueue) bytes() int {
+	sum := 0
+	for _, datagram := range waiting.datagrams {
+		sum += len(datagram.Content)
+	}
+	return sum
+}
+
 // fairQueue has two levels. Short flows go first, each in its turn by deficit
 // round robin, those that just began to wait before those that have waited
 // through a turn (RFC 8290, section 4, without its dropping of packets by their
@@ -75,14 +98,16 @@
 // sender, over and over.
 //
 // Invariants: a flow is in flows if and only if it is in exactly one of the
-// three lists; bytes is the sum of the contents of all datagrams.
+// three lists; bytes is the sum of the contents of all datagrams, and longBytes of
+// those of long flows.
 type fairQueue struct {
-	limit int
-	bytes int
-	flows map[Flow]*flowQueue
-	fresh *list.List
-	old   *list.List
-	long  *list.List
+	limit     int
+	bytes     int
+	longBytes int
+	flows     map[Flow]*flowQueue
+	fresh     *list.List
+	old       *list.List
+	long      *list.List
 }
 
 func newFairQueue(limit int) *fairQueue {
@@ -117,15 +142,23 @@
 	}
 	waiting.datagrams = append(waiting.datagrams, added)
 	waiting.attained += len(added.Content)
-	queue.bytes += len(added.Content)
+	queue.count(waiting, len(added.Content))
 	return admitted
 }
 
+// count adds bytes of a flow to what waits, or takes them off.
+func (queue *fairQueue) count(waiting *flowQueue, bytes int) {
+	queue.bytes += bytes
+	if waiting.long {
+		queue.longBytes += bytes
+	}
+}
+
 // replace puts added into the place of the datagram that it repeats.
 func (queue *fairQueue) replace(waiting *flowQueue, added *Datagram) bool {
 	for index, known := range waiting.datagrams {
 		if known.repeats(added) {
-			queue.bytes += len(added.Content) - len(known.Content)
+			queue.count(waiting, len(added.Content)-len(known.Content))
 			added.since = known.since
 			waiting.datagrams[index] = added
 			return true
@@ -134,6 +167,9 @@
 	return false
 }
 
+// short returns the number of bytes of short flows that wait.
+func (queue *fairQueue) short() int { return queue.bytes - queue.longBytes }
+
 // empty tells whether nothing waits.
 func (queue *fairQueue) empty() bool { return queue.bytes == 0 }
 
@@ -149,6 +185,7 @@
 		case waiting.attained >= longFrom:
 			from.Remove(element)
 			waiting.long = true
+			queue.longBytes += waiting.bytes()
 			waiting.emptiedAt = now
 			queue.long.PushBack(waiting)
 		case waiting.credit <= 0:
@@ -231,7 +268,7 @@
 	waiting.datagrams[0] = nil
 	waiting.datagrams = waiting.datagrams[1:]
 	waiting.credit -= len(taken.Content)
-	queue.bytes -= len(taken.Content)
+	queue.count(waiting, -len(taken.Content))
 	if queue.empty() {
 		queue.forgetShort()
 	}
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -119,8 +119,8 @@
 // Counts returns what became of the datagrams that were sent.
 func (forwarder *Forwarder) Counts() egress.Counts { return forwarder.egress.Counts() }
 
-// LinkIdle tells whether no datagram waits for the link.
-func (forwarder *Forwarder) LinkIdle() bool { return forwarder.egress.Idle() }
+// Egress returns the queue in front of the link.
+func (forwarder *Forwarder) Egress() *egress.Egress { return forwarder.egress }
 
 // ObserveWaits makes observe be told how long each datagram waited for the link
 // that did. It is set before the first packet.
@@ -184,10 +184,10 @@
 	switch decision.Action {
 	case steer.Forward:
 		forwarder.note(segment, decision, now)
-		forwarder.send(segment, forwarder.codec.Deliver(buffer, decision), decision.Target, now)
+		forwarder.send(segment, forwarder.codec.Deliver(buffer, decision), decision.Target, true, now)
 	case steer.Reset:
 		reset, to := forwarder.codec.Reset(buffer[headroom:], segment)
-		forwarder.send(segment, reset, to, now)
+		forwarder.send(segment, reset, to, false, now)
 	}
 }
 
@@ -228,14 +228,20 @@
 	}
 }
 
-// send hands one datagram of the segment's flow to the link.
-func (forwarder *Forwarder) send(segment steer.Segment, content []byte, to netip.AddrPort, now time.Time) {
+// send hands one datagram of the segment's flow to the link: the segment itself, if it is
+// one that the balancer forwards, or a reset.
+func (forwarder *Forwarder) send(segment steer.Segment, content []byte, to netip.AddrPort, forwards bool, now time.Time) {
 	forwarder.egress.Send(egress.Datagram{
 		Flow:     egress.Flow{Caller: segment.Caller, Service: segment.Service},
 		To:       to,
 		Sequence: segment.Sequence,
 		HasData:  segment.HasData,
-		Content:  content,
+		Opening:  segment.Opening && forwards,
+
+		Acknowledges:    segment.Acknowledges() && forwards,
+		Acknowledgement: segment.Acknowledgement,
+
+		Content: content,
 	}, now)
 }
 
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -49,6 +49,11 @@
 	Length   uint32
 }
 
+// Acknowledges tells whether the packet does nothing but acknowledge.
+func (segment Segment) Acknowledges() bool {
+	return !segment.Opening && !segment.Abort && !segment.Closing && !segment.HasData
+}
+
 // TriesKnown is the number of former copies of an opening packet whose targets
 // matter: callers send three copies at the most.
 const TriesKnown = 2
--- a/internal/direct/transfer/admission.go
+++ b/internal/direct/transfer/admission.go
@@ -5,8 +5,8 @@
 // them, while other balancers have room. A new flow is refused at once when its
 // request, by what requests of its route usually bring, would be carried later
 // than its route's objective allows, and sooner where many are refused; the caller's
-// next try comes to another balancer. Short requests are never refused: they pass long
-// ones in the queue of package egress.
+// next try comes to another balancer. Short requests pass long ones in the queue of package
+// egress; they are refused only where short ones alone are more than the link carries.
 //
 // The decision is pure: it reads what requests are open and what their routes
 // usually bring.
@@ -37,8 +37,7 @@
 	options Options
 	sizes   *Sizes
 	open    Open
-	// idle tells whether nothing waits in front of the link.
-	idle func() bool
+	link    Link
 	// refused is the share of long requests that were refused lately.
 	refused requests.Share
 }
@@ -47,14 +46,30 @@
 func New(options Options, sizes *Sizes, open Open) *Admission {
 	return &Admission{
 		options: options, sizes: sizes, open: open,
-		idle:    func() bool { return false },
+		link:    unknownLink{},
 		refused: requests.Share{Weight: refusedWeight},
 	}
 }
 
-// ObserveLink makes the admission ask idle whether nothing waits in front of the link. It
-// is set before the first packet.
-func (admission *Admission) ObserveLink(idle func() bool) { admission.idle = idle }
+// Link tells what waits in front of the balancer's link.
+type Link interface {
+	// Idle tells whether nothing waits.
+	Idle() bool
+	// ShortWait returns how long the link takes for what waits of short flows.
+	ShortWait() time.Duration
+}
+
+// unknownLink is a link of which nothing is known.
+type unknownLink struct{}
+
+// Idle implements Link.
+func (unknownLink) Idle() bool { return false }
+
+// ShortWait implements Link.
+func (unknownLink) ShortWait() time.Duration { return 0 }
+
+// ObserveLink makes the admission look at the link. It is set before the first packet.
+func (admission *Admission) ObserveLink(link Link) { admission.link = link }
 
 // Verdict is the decision about one new flow.
 type Verdict struct {
@@ -75,6 +90,9 @@
 	if !opens || segment.Seen {
 		return decision
 	}
+	if wait := admission.link.ShortWait(); admission.options.Share > 0 && wait > shortWaitMost {
+		return decision.RefuseForLink(wait)
+	}
 	verdict := admission.Consider(segment.Service, decision.Objective, now)
 	if !verdict.Refused {
 		return decision
@@ -89,7 +107,7 @@
 	if admission.options.BytesPerSecond == 0 || admission.options.Share == 0 || objective == 0 || verdict.Size <= requests.LongFrom {
 		return verdict
 	}
-	idle := admission.idle()
+	idle := admission.link.Idle()
 	admission.open(func(progress requests.Progress) {
 		if idle && now.Sub(progress.LastAt) > quietAfter {
 			return
@@ -117,6 +135,12 @@
 	return max(time.Duration(patience*float64(most)), min(roomFrom, most))
 }
 
+// shortWaitMost is how long datagrams of short flows may wait for the link before it takes no
+// new flows: half of the time after which senders repeat what is not acknowledged. From
+// there on the link would carry everything twice, and what is open suffers with what is new.
+// A refusal costs it one small datagram, a flow some ten.
+const shortWaitMost = 100 * time.Millisecond
+
 // carries returns how long the link takes for a number of bytes.
 func (admission *Admission) carries(bytes int) time.Duration {
 	return time.Duration(float64(bytes) / admission.options.BytesPerSecond * float64(time.Second))
--- a/internal/direct/transfer/admission_test.go
+++ b/internal/direct/transfer/admission_test.go
@@ -33,6 +33,18 @@
 	return sizes
 }
 
+// linkState is what waits in front of a link.
+type linkState struct {
+	idle      bool
+	shortWait time.Duration
+}
+
+// Idle implements Link.
+func (state linkState) Idle() bool { return state.idle }
+
+// ShortWait implements Link.
+func (state linkState) ShortWait() time.Duration { return state.shortWait }
+
 // visiting returns an Open that visits the requests.
 func visiting(open ...requests.Progress) Open {
 	return func(visit func(progress requests.Progress)) {
@@ -157,7 +169,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			begun := requests.Progress{Route: uploads}
 			admission := New(Options{BytesPerSecond: rate, Share: 0.5}, learned(), visiting(begun, begun))
-			admission.ObserveLink(func() bool { return test.idle })
+			admission.ObserveLink(linkState{idle: test.idle})
 			require.Equal(t, test.refused, admission.Consider(uploads, objective, start.Add(test.quiet)).Refused)
 		})
 	}
@@ -220,3 +232,33 @@
 		admission.Consider(uploads, objective, start)
 	}
 }
+
+// TestNewFlowsAreRefusedBeforeOpenOnesSuffer is a link that short datagrams alone keep full:
+// from half of the time on after which senders repeat, each new flow would make the link
+// carry more of it twice.
+func TestNewFlowsAreRefusedBeforeOpenOnesSuffer(t *testing.T) {
+	chosen := steer.Decision{Action: steer.Forward, Reason: steer.ReasonChosen, Objective: objective}
+	owner := steer.Decision{Action: steer.Forward, Reason: steer.ReasonOwner}
+	cases := []struct {
+		name    string
+		wait    time.Duration
+		segment steer.Segment
+		given   steer.Decision
+		share   float64
+		refused bool
+	}{
+		{"a short queue", shortWaitMost, steer.Segment{Service: calls, Opening: true}, chosen, 0.5, false},
+		{"a long queue", shortWaitMost + 1, steer.Segment{Service: calls, Opening: true}, chosen, 0.5, true},
+		{"an open flow", time.Second, steer.Segment{Service: calls}, owner, 0.5, false},
+		{"a copy of what was sent on", time.Second, steer.Segment{Service: calls, Opening: true, Seen: true}, chosen, 0.5, false},
+		{"switched off", time.Second, steer.Segment{Service: calls, Opening: true}, chosen, 0, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			admission := New(Options{BytesPerSecond: rate, Share: test.share}, learned(), visiting())
+			admission.ObserveLink(linkState{shortWait: test.wait})
+			decision := admission.Review(test.segment, test.given, start)
+			require.Equal(t, test.refused, decision.Reason == steer.ReasonLinkFull)
+		})
+	}
+}
--- a/internal/sim/directworld/balancer.go
+++ b/internal/sim/directworld/balancer.go
@@ -96,7 +96,7 @@
 	balancer.admission = balancer.newAdmission()
 	if balancer.world.options.LinkRate > 0 {
 		balancer.link = newLink(balancer.world)
-		balancer.admission.ObserveLink(balancer.link.egress.Idle)
+		balancer.admission.ObserveLink(balancer.link.egress)
 	}
 	sharing := load.Options{
 		Interval: loadInterval, Neighbours: subscriber.Neighbours,
