Learn serving times by what a request met, from counts that are whole

Cause: the windowed minimum of blocks, and the most that was open since a balancer last had no request at a target, were both too low where a balancer always has requests there.

Change: each request's answer counts by what was open when it began, the oldest of a target's first; an average as before; nothing is learned while load is high and nobody tells of other balancers' requests, which is what the minimum was for.

--- a/internal/direct/load/book.go
+++ b/internal/direct/load/book.go
@@ -12,6 +12,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"merlinpaddle/internal/direct/directory"
@@ -28,8 +29,10 @@
 	// serving is the average time from the data of a request to the caller's
 	// acknowledgement of the answer on an idle target.
 	serving average
-	// peak is the most that was open since this balancer last had none here.
-	peak int
+	// met has what was open when each of this balancer's requests began, that request
+	// included, the oldest first. Targets work on requests in about the order of their
+	// arrival, so that the oldest is taken for the one that ends.
+	met []int
 	// used tells that the count changed since the last search for idle ones.
 	used bool
 }
@@ -45,6 +48,9 @@
 type Book struct {
 	shards [shardCount]shard
 	trust  trust
+	// partial tells that the requests of other balancers are not known although load is
+	// high: how crowded targets are cannot be told then.
+	partial atomic.Bool
 	// services has the serving times of services.
 	services serviceTimes
 }
@@ -67,28 +73,47 @@
 	shard := book.shard(token)
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
+	known := shard.count(token)
+	known.own += own
+	known.others += others
+	known.used = true
+}
+
+// count returns the count of a target, a new one where there was none.
+func (shard *shard) count(token directory.Token) *count {
 	known := shard.counts[token]
 	if known == nil {
 		known = &count{}
 		shard.counts[token] = known
 	}
-	known.own += own
-	known.others += others
-	known.used = true
-	known.notePeak()
+	return known
 }
 
-// notePeak keeps the most that was open while this balancer has requests there.
-func (count *count) notePeak() {
-	if count.own <= 0 {
-		count.peak = 0
-		return
+// Began implements requests.Listener.
+func (book *Book) Began(target requests.Target) {
+	shard := book.shard(target.Token)
+	shard.lock.Lock()
+	defer shard.lock.Unlock()
+	known := shard.count(target.Token)
+	known.own++
+	known.used = true
+	if len(known.met) < metKept {
+		known.met = append(known.met, known.own+known.others)
 	}
-	count.peak = max(count.peak, count.own+count.others)
 }
 
-// Began implements requests.Listener.
-func (book *Book) Began(target requests.Target) { book.add(target.Token, 1, 0) }
+// metKept bounds what is remembered of the requests at one target, which holds far fewer.
+const metKept = 64
+
+// takeMet returns what was open when the oldest request began, and forgets it.
+func (count *count) takeMet() int {
+	if len(count.met) == 0 {
+		return count.own + count.others
+	}
+	oldest := count.met[0]
+	count.met = count.met[:copy(count.met, count.met[1:])]
+	return oldest
+}
 
 // Ended implements requests.Listener.
 func (book *Book) Ended(target requests.Target, ending requests.Ending, took time.Duration) {
@@ -102,13 +127,13 @@
 	if known == nil {
 		return
 	}
-	if ending == requests.Answered {
-		if alone, clear := known.learn(took, target.Capacity); clear {
+	met := known.takeMet()
+	if ending == requests.Answered && !book.partial.Load() {
+		if alone, clear := known.learn(took, met, target.Capacity); clear {
 			book.services.learn(target.Service, alone)
 		}
 	}
 	known.own--
-	known.notePeak()
 }
 
 // Receiving implements requests.Listener. A request whose data still comes takes
@@ -124,21 +149,26 @@
 // Continued implements requests.Listener.
 func (book *Book) Continued(whole bool) { book.trust.flows.Note(whole) }
 
-// learnedCrowd is the number of requests by capacity up to which answers count
-// for the serving time. A fuller target answers some requests by refusing them.
-const learnedCrowd = 2
-
-// learn takes an answer into the serving time. A request that shared the target
-// with more than it works on at once waited for its part of the time. What counts is
-// the most that was open since it began, and not what is left when its answer comes:
-// while a rush ends, the latter made an idle target's time seem two and a half times as
-// long, so that flows were refused beside idle slots. It returns what the request would
-// have taken alone, and false when the target was too full to tell.
-func (count *count) learn(took time.Duration, capacity int) (alone float64, clear bool) {
-	crowd := max(float64(count.peak)/float64(max(capacity, 1)), 1)
-	if crowd > learnedCrowd {
+const (
+	// learnedCrowd is the number of requests by capacity that a request may have met for
+	// its answer to count for the serving time.
+	learnedCrowd = 2
+	// refusingCrowd is the number of requests by capacity from which an answer may be a
+	// refusal, which comes quickly and out of order.
+	refusingCrowd = 4
+)
+
+// learn takes an answer into the serving time. A request that met more at the target than
+// it works on at once waited for its part of the time. What is left when its answer comes
+// says nothing of that: while a rush ends, it made an idle target's time seem two and a half
+// times as long, so that flows were refused beside idle slots. It returns what the request
+// would have taken alone, and false when the target was or is too full to tell.
+func (count *count) learn(took time.Duration, met, capacity int) (alone float64, clear bool) {
+	slots := float64(max(capacity, 1))
+	if float64(met) > learnedCrowd*slots || float64(count.own+count.others) > refusingCrowd*slots {
 		return 0, false
 	}
+	crowd := max(float64(met)/slots, 1)
 	alone = float64(took) / crowd
 	count.serving.learn(alone, targetWeight)
 	return alone, true
--- a/internal/direct/load/exchange.go
+++ b/internal/direct/load/exchange.go
@@ -134,6 +134,7 @@
 		exchange.takeReport(received.From, received.Message, now)
 	}
 	exchange.dropSilent(now)
+	exchange.book.partial.Store(exchange.collects && exchange.demand.high(now) && len(exchange.heard) == 0)
 	exchange.entries = exchange.book.appendOwn(exchange.entries[:0])
 	if exchange.collects {
 		exchange.tellCollector(now)
--- a/internal/direct/load/serving.go
+++ b/internal/direct/load/serving.go
@@ -1,27 +1,21 @@
 package load
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// targetWeight is the weight of one more answer in the average serving time of a target.
-	targetWeight = 0.1
+	// targetWeight and serviceWeight are the weights of one more answer in the
+	// average serving time of a target and of a service, which has the answers of
+	// many targets.
+	targetWeight  = 0.1
+	serviceWeight = 0.02
 	// leastAnswers is the number of answers from which an average is used: single
 	// requests differ, and a service that is overloaded from its start on shows no
 	// more than the first few on idle targets.
 	leastAnswers = 8
-	// blockAnswers is the number of answers whose mean is taken as one sample of a
-	// service's serving time: requests of one kind that differ by half of their mean give a
-	// mean that is an eighth off.
-	blockAnswers = 16
-	// windowBlocks is the number of samples in which the least one is looked for; it holds
-	// until as many more came. Callers come and go within some ten seconds, in which a
-	// balancer under load hears of a thousand answers.
-	windowBlocks = 64
 )
 
 // average is a running average of serving times on idle targets.
@@ -47,44 +41,6 @@
 	return time.Duration(average.value)
 }
 
-// floor is the serving time of a service: the least mean of a block of answers of late. How
-// crowded targets are is not always known, as while the members that add up loads are away;
-// answers then seem to take as long as their queue, and a mean over all of them made targets
-// with an idle slot look too slow for new flows. Waiting only ever adds, so that the least
-// is nearest to the truth (a windowed minimum, as in Cardwell and others, BBR, 2016).
-type floor struct {
-	block average
-	// present and former are the least samples of the window that fills and of the one
-	// before it, infinite without any, and blocks the number of samples in the first.
-	present, former float64
-	blocks          int
-}
-
-func newFloor() *floor { return &floor{present: math.Inf(1), former: math.Inf(1)} }
-
-// learn takes in how long a request would have taken on an idle target.
-func (floor *floor) learn(alone float64) {
-	floor.block.learn(alone, 0)
-	if floor.block.answers < blockAnswers {
-		return
-	}
-	floor.present = min(floor.present, floor.block.value)
-	floor.block = average{}
-	floor.blocks++
-	if floor.blocks == windowBlocks {
-		floor.former, floor.present, floor.blocks = floor.present, math.Inf(1), 0
-	}
-}
-
-// time returns the serving time, or zero while too few answers came.
-func (floor *floor) time() time.Duration {
-	least := min(floor.present, floor.former)
-	if math.IsInf(least, 1) {
-		return floor.block.time()
-	}
-	return time.Duration(least)
-}
-
 // ServingTime is how long a request takes on an idle target of a service.
 type ServingTime struct {
 	Service string
@@ -95,7 +51,7 @@
 // others told. Services are few, and stay.
 type serviceTimes struct {
 	lock  sync.RWMutex
-	seen  map[string]*floor
+	seen  map[string]*average
 	heard map[string]time.Duration
 }
 
@@ -104,14 +60,14 @@
 	times.lock.Lock()
 	defer times.lock.Unlock()
 	if times.seen == nil {
-		times.seen = make(map[string]*floor)
+		times.seen = make(map[string]*average)
 	}
 	known := times.seen[service]
 	if known == nil {
-		known = newFloor()
+		known = &average{}
 		times.seen[service] = known
 	}
-	known.learn(alone)
+	known.learn(alone, serviceWeight)
 }
 
 // hear replaces what others told.
@@ -126,20 +82,18 @@
 	}
 }
 
-// typical returns the less of what this balancer saw and what others told; zero when
-// neither is known.
+// typical returns what others told, or else what this balancer saw; zero when neither is
+// known. A balancer that started under load saw crowded targets alone.
 func (times *serviceTimes) typical(service string) time.Duration {
 	times.lock.RLock()
 	defer times.lock.RUnlock()
-	var seen time.Duration
-	if known := times.seen[service]; known != nil {
-		seen = known.time()
+	if heard := times.heard[service]; heard > 0 {
+		return heard
 	}
-	heard := times.heard[service]
-	if seen == 0 || heard == 0 {
-		return max(seen, heard)
+	if known := times.seen[service]; known != nil {
+		return known.time()
 	}
-	return min(seen, heard)
+	return 0
 }
 
 // all returns what this balancer saw, by the names of services.
--- a/internal/direct/requests/continuity.go
+++ b/internal/direct/requests/continuity.go
@@ -23,11 +23,8 @@
 
 // check takes a packet of an open flow into the sample. It returns whether the
 // packet follows the one before, and whether that can be told.
-func (shard *shard) check(key flowKey, segment steer.Segment, movedAt, now time.Time) (whole, told bool) {
+func (shard *shard) check(key flowKey, segment steer.Segment, now time.Time) (whole, told bool) {
 	known, sampled := shard.samples[key]
-	// What a flow brought since routers moved it went another way, and says nothing of how
-	// they treat its packets now.
-	sampled = sampled && !known.seenAt.Before(movedAt)
 	if segment.Closing || segment.Abort {
 		delete(shard.samples, key)
 		return false, false
--- a/internal/direct/requests/watcher.go
+++ b/internal/direct/requests/watcher.go
@@ -205,7 +205,7 @@
 	shard := watcher.shard(key)
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
-	if whole, told := shard.check(key, segment, watcher.moves.last(), now); told {
+	if whole, told := shard.check(key, segment, now); told {
 		watcher.continued(whole)
 	}
 	open, known := shard.requests[key]
