--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -12,7 +12,7 @@
 	case last.Message == messageReset && last.Reason == "target_failed":
 		return "The flow was reset because its target was found dead. " + story.failure(lines)
 	case last.Message == messageReset && last.Reason == "overloaded":
-		return fmt.Sprintf("The flow was refused before it opened: half of the new flows of its service were expected to miss their objective, and the least busy one, "+
+		return fmt.Sprintf("The flow was refused before it opened: half of the new flows of its service and priority were expected to miss their objective or to find targets full, and the least busy one, "+
 			"target %x, had %d open requests, so an answer was expected after %s only.", last.Target, last.Open, last.Expected)
 	case last.Message == messageReset && last.Reason == "evacuated":
 		return fmt.Sprintf("The flow was refused at once: all targets of its service are in zones that operators emptied, the latest by the order at revision %d. "+
@@ -22,7 +22,7 @@
 	case last.Message == messageReset && last.Reason == "cold":
 		return "The flow was refused at once: all targets of its service had just started or returned, and those whose rate this balancer holds were given what they bear."
 	case last.Message == messageReset && last.Reason == "link_full":
-		return fmt.Sprintf("The flow was refused before it opened: long requests filled the balancer's own link, which would have carried its request after %s only. "+
+		return fmt.Sprintf("The flow was refused before it opened: the balancer's own link was full, which would have carried its request after %s only. "+
 			"The caller's next try goes to another balancer.", last.Expected)
 	case last.Message == messageReset:
 		return fmt.Sprintf("The flow was reset: no route has the address %s in version %d.", last.Route, last.Version)
