Rank priorities among those in use

Cause: a route's rank counted all declared priorities that go before it. Both sites declare idle routes of priority 0, so that the most urgent callers there are had the thresholds of second ones, and the next those of third ones.

Change: a service remembers for ten seconds which priorities its new flows had, and ranks among these.

--- a/internal/direct/steer/admission.go
+++ b/internal/direct/steer/admission.go
@@ -20,9 +20,8 @@
 // priority: seven requests for two slots where the most urgent may find ten.
 const crowdShare = 0.7
 
-// ranksKept is the number of priorities whose congestion is told apart; lower ones count
-// as the last of them.
-const ranksKept = 8
+// ranksKept is the number of ranks whose congestion is told apart.
+const ranksKept = prioritiesKept
 
 // congestions has the congestion of a service as routes of each rank see it. Each rank has
 // one of its own: a lower one finds a service full while a higher one still has room, and
@@ -49,24 +48,24 @@
 	return time.Duration(crowd * float64(serving))
 }
 
-// late tells whether a further request of the route would find the target too full: no slot
-// is idle, and it would miss its share of the objective or be turned away.
-func (table *Table) late(target *record, open int, expected time.Duration, route route) bool {
+// late tells whether a further request of the route, of a rank, would find the target too
+// full: no slot is idle, and it would miss its share of the objective or be turned away.
+func (table *Table) late(target *record, open int, expected time.Duration, route route, rank int) bool {
 	if open < target.slots() || route.objective == 0 || table.options.AdmitShare == 0 {
 		return false
 	}
-	return table.exceeds(expected, route) || table.crowded(target, open, route)
+	return table.exceeds(expected, route, rank) || table.crowded(target, open, rank)
 }
 
-// crowded tells whether the target would hold more than it may for the route's priority.
-func (table *Table) crowded(target *record, open int, route route) bool {
-	most := table.options.FullCrowd * math.Pow(crowdShare, float64(route.rank))
+// crowded tells whether the target would hold more than it may for routes of the rank.
+func (table *Table) crowded(target *record, open, rank int) bool {
+	most := table.options.FullCrowd * math.Pow(crowdShare, float64(rank))
 	return most > 0 && float64(open+1) > most*float64(target.slots())
 }
 
 // exceeds tells whether a request that takes as long would miss the share of the
 // route's objective that is allowed.
-func (table *Table) exceeds(expected time.Duration, route route) bool {
-	share := table.options.AdmitShare * math.Pow(rankShare, float64(route.rank))
+func (table *Table) exceeds(expected time.Duration, route route, rank int) bool {
+	share := table.options.AdmitShare * math.Pow(rankShare, float64(rank))
 	return float64(expected) > share*float64(route.objective)
 }
--- a/internal/direct/steer/admission_test.go
+++ b/internal/direct/steer/admission_test.go
@@ -100,6 +100,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			table := admissionTable(t, &test.load, test.change)
+			_ = table.Decide(to(443), start)
 			decision := press(table, start, test.duration, test.segment)
 			require.Equal(t, test.reason, decision.Reason)
 			want := Forward
@@ -123,6 +124,7 @@
 		for load.open = 0; load.open < 40; load.open++ {
 			from := start.Add(time.Duration(load.open) * 3 * congestionSpan)
 			both := func(at time.Time) Decision {
+				_ = table.Decide(urgent, at)
 				_ = table.Decide(lessUrgent, at)
 				return table.Decide(segment, at)
 			}
--- a/internal/direct/steer/apply.go
+++ b/internal/direct/steer/apply.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"merlinpaddle/internal/direct/directory"
@@ -139,17 +138,3 @@
 		service.capacity += target.Capacity
 	}
 }
-
-// rankRoutes orders routes by their priorities.
-func (table *Table) rankRoutes() {
-	var priorities []int
-	for _, route := range table.routes {
-		priorities = append(priorities, route.priority)
-	}
-	slices.Sort(priorities)
-	priorities = slices.Compact(priorities)
-	for address, route := range table.routes {
-		route.rank, _ = slices.BinarySearch(priorities, route.priority)
-		table.routes[address] = route
-	}
-}
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -109,8 +109,9 @@
 	}
 	open, serving := table.loadOf(chosen)
 	expected := chosen.expected(open, serving, route.objective)
-	late := table.late(chosen, open, expected, route)
-	congested := service.congestion.observe(route.rank, late, now)
+	rank := service.urgency.rank(route.priority, now)
+	late := table.late(chosen, open, expected, route, rank)
+	congested := service.congestion.observe(rank, late, now)
 	if congested && late && !segment.Seen {
 		if decision, opened := table.openCold(service, hash, segment, route, now); opened {
 			return decision
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -38,8 +38,6 @@
 	priority  int
 	// home names the regions whose targets may serve the route.
 	home home
-	// rank is the number of different priorities of other routes that go before.
-	rank int
 }
 
 // service has the targets of a service that may take new flows.
@@ -59,15 +57,16 @@
 	// capacity is the sum of the targets' capacities.
 	capacity   int
 	congestion *congestions
+	urgency    *urgency
 }
 
 // newService returns a service without targets that goes on from former, which
 // may be nil.
 func newService(former *service) *service {
 	if former != nil {
-		return &service{congestion: former.congestion}
+		return &service{congestion: former.congestion, urgency: former.urgency}
 	}
-	return &service{congestion: &congestions{}}
+	return &service{congestion: &congestions{}, urgency: &urgency{}}
 }
 
 // Table is a balancer's copy of the directory. All methods may be called at
@@ -177,7 +176,6 @@
 	table.version = changes.Version
 	table.idleTimeout = changes.IdleTimeout
 	table.rebuildServices()
-	table.rankRoutes()
 	table.changes.Notify()
 	return true
 }
--- /dev/null
+++ b/internal/direct/steer/urgency.go
@@ -0,0 +1,54 @@
+package steer
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// usedFor is how long a priority counts as used after the last new flow of its routes.
+	// Callers come and go within some ten seconds.
+	usedFor = 10 * time.Second
+	// prioritiesKept bounds the priorities of a service that are told apart.
+	prioritiesKept = 8
+)
+
+// urgency tells how many priorities in use go before a route's. Declared routes that nobody
+// uses do not count: they would make every other route less urgent, and its callers be
+// refused for the sake of nobody.
+type urgency struct {
+	lock sync.Mutex
+	used [prioritiesKept]usedPriority
+}
+
+// usedPriority is a priority and when a new flow of it came last, zero for a free place.
+type usedPriority struct {
+	priority int
+	at       time.Time
+}
+
+// rank notes a new flow of a priority and returns the number of priorities in use that go
+// before it.
+func (urgency *urgency) rank(priority int, now time.Time) int {
+	urgency.lock.Lock()
+	defer urgency.lock.Unlock()
+	rank, own, oldest := 0, -1, 0
+	for place := range urgency.used {
+		used := &urgency.used[place]
+		switch {
+		case used.at.IsZero() || now.Sub(used.at) >= usedFor:
+		case used.priority < priority:
+			rank++
+		case used.priority == priority:
+			own = place
+		}
+		if used.at.Before(urgency.used[oldest].at) {
+			oldest = place
+		}
+	}
+	if own < 0 {
+		own = oldest
+	}
+	urgency.used[own] = usedPriority{priority: priority, at: now}
+	return rank
+}
