--- a/internal/direct/steer/admission.go
+++ b/internal/direct/steer/admission.go
@@ -48,13 +48,22 @@
 	return time.Duration(crowd * float64(serving))
 }
 
-// late tells whether a further request of the route, of a rank, would find the target too
+// admits takes in a new flow of the route, and tells whether its candidate has room for it,
+// or its service is not congested for routes as urgent.
+func (table *Table) admits(service *service, candidate candidate, route route, now time.Time) bool {
+	rank := service.urgency.rank(route.priority, now)
+	late := table.late(candidate, route, rank)
+	congested := service.congestion.observe(rank, late, now)
+	return !congested || !late
+}
+
+// late tells whether a further request of the route, of a rank, would find the candidate too
 // full: no slot is idle, and it would miss its share of the objective or be turned away.
-func (table *Table) late(target *record, open int, expected time.Duration, route route, rank int) bool {
-	if open < target.slots() || route.objective == 0 || table.options.AdmitShare == 0 {
+func (table *Table) late(candidate candidate, route route, rank int) bool {
+	if candidate.open < candidate.target.slots() || route.objective == 0 || table.options.AdmitShare == 0 {
 		return false
 	}
-	return table.exceeds(expected, route, rank) || table.crowded(target, open, rank)
+	return table.exceeds(candidate.expected, route, rank) || table.crowded(candidate.target, candidate.open, rank)
 }
 
 // crowded tells whether the target would hold more than it may for routes of the rank.
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -96,35 +96,61 @@
 	if len(service.targets) == 0 {
 		return table.openWithoutTargets(service, hash, segment, route, now)
 	}
+	candidate := table.candidate(service, hash, segment, route, now)
+	if !table.admits(service, candidate, route, now) && !segment.Seen {
+		if decision, opened := table.openCold(service, hash, segment, route, now); opened {
+			return decision
+		}
+		return Decision{
+			Action: Reset, Reason: ReasonOverloaded,
+			ID: candidate.target.ID, Open: candidate.open, Expected: candidate.expected,
+		}
+	}
+	return table.openAt(candidate, route, now)
+}
+
+// candidate is the target that a new flow would go to.
+type candidate struct {
+	target *record
+	place  Place
+	// former is the target that did not answer the flow's former opening packet, or zero.
+	former directory.Token
+	// open is the number of requests that are open there, and expected how long a further
+	// one would take.
+	open     int
+	expected time.Duration
+}
+
+// candidate returns the least busy of the best targets by hash, which are near ones mostly,
+// or one elsewhere when these have no room.
+func (table *Table) candidate(service *service, hash uint64, segment Segment, route route, now time.Time) candidate {
 	var choices choices
 	service.rank(hash, now, table.nearWeightOf(service), &choices)
 	choices.leastBusyFirst(table.options)
 	chosen, former := choices.pick(segment)
-	var spilled *record
+	place := placeOf(chosen)
 	if segment.Attempt == 0 {
-		spilled = table.spill(service, chosen, hash, now)
-	}
-	if spilled != nil {
-		chosen = spilled
+		if spilled := table.spill(service, chosen, hash, now); spilled != nil {
+			chosen, place = spilled, PlaceSpilled
+		}
 	}
 	open, serving := table.loadOf(chosen)
-	expected := chosen.expected(open, serving, route.objective)
-	rank := service.urgency.rank(route.priority, now)
-	late := table.late(chosen, open, expected, route, rank)
-	congested := service.congestion.observe(rank, late, now)
-	if congested && late && !segment.Seen {
-		if decision, opened := table.openCold(service, hash, segment, route, now); opened {
-			return decision
-		}
-		return Decision{Action: Reset, Reason: ReasonOverloaded, ID: chosen.ID, Open: open, Expected: expected}
+	return candidate{
+		target: chosen, place: place, former: former,
+		open: open, expected: chosen.expected(open, serving, route.objective),
 	}
-	decision := forwardTo(chosen, ReasonChosen)
-	decision.Open = open
-	decision.Expected = expected
+}
+
+// openAt gives a new flow to its candidate.
+func (table *Table) openAt(candidate candidate, route route, now time.Time) Decision {
+	decision := forwardTo(candidate.target, ReasonChosen)
+	decision.Open = candidate.open
+	decision.Expected = candidate.expected
 	decision.Objective = route.objective
-	decision.Place = placeOf(chosen, spilled != nil)
-	if former != 0 && former != chosen.Token && now.Sub(table.servingSince) > copiesSpan {
-		decision.Suspect = former
+	decision.Place = candidate.place
+	silent := candidate.former != 0 && candidate.former != candidate.target.Token
+	if silent && now.Sub(table.servingSince) > copiesSpan {
+		decision.Suspect = candidate.former
 	}
 	return decision
 }
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -163,11 +163,8 @@
 // Places returns all places.
 func Places() []Place { return []Place{PlaceElsewhere, PlaceNear, PlaceSpilled} }
 
-func placeOf(target *record, spilled bool) Place {
-	switch {
-	case spilled:
-		return PlaceSpilled
-	case target.near:
+func placeOf(target *record) Place {
+	if target.near {
 		return PlaceNear
 	}
 	return PlaceElsewhere
