Tell a target's starts apart: an incarnation is an identifier and a start

Cause: a target that starts again under its identifier counts its calls anew, and the directory dropped every call whose number was not above the last one, so that the new start was taken for a late call and its flows stayed bound to the former one. Ruled out: taking a lower number for a restart (a call that a cut held up looks the same). Change: a target states its start; a later start is a new incarnation with a token of its own, the former one is committed as failed, and calls of a former start, or without one, change nothing. Commands, reports of balancers, the leader's memory and the judge of outcomes go by token, so that findings about a former start leave the latest alone. A flow that opened at a restarted target before balancers knew of the start has the former token: its packets go to the target, which alone knows which flows it has. Balancers look renewals up in an index instead of scanning all targets.

--- a/internal/direct/balancernode/observer.go
+++ b/internal/direct/balancernode/observer.go
@@ -35,10 +35,12 @@
 		observer.metrics.places[decision.Place].Add(1)
 	}
 	message := "packet dropped"
-	switch decision.Action {
-	case steer.Forward:
+	switch {
+	case decision.Reason == steer.ReasonRestarted:
+		message = "packet of a former start forwarded"
+	case decision.Action == steer.Forward:
 		message = "flow opened"
-	case steer.Reset:
+	case decision.Action == steer.Reset:
 		message = "flow reset"
 	}
 	entry := observer.logger.Check(zap.InfoLevel, message)
--- a/internal/direct/directory/apply.go
+++ b/internal/direct/directory/apply.go
@@ -40,11 +40,11 @@
 	case command.Register != nil:
 		return directory.register(command.Register.Target)
 	case command.Leave != nil:
-		directory.leave(command.Leave.ID)
-	case command.Health != nil:
-		directory.changeHealth(command.Health)
-	case command.Forget != nil:
-		directory.forget(command.Forget.IDs)
+		directory.leave(command.Leave)
+	case command.TargetHealth != nil:
+		directory.changeHealth(command.TargetHealth)
+	case command.ForgetTargets != nil:
+		directory.forget(command.ForgetTargets.Tokens)
 	case command.Evacuate != nil:
 		return directory.orderZone(command.Evacuate)
 	}
@@ -93,18 +93,39 @@
 	}
 }
 
-// register adds a target or moves its state forward. A failed target stays
-// failed, because a renewal may come long after it was sent; what it states is
-// its state once it is found alive.
+// StartedBefore tells whether stated is of a later start of the target. A target that
+// says nothing of its start has none.
+func (target *Target) StartedBefore(stated Target) bool {
+	return target.Started != 0 && stated.Started > target.Started
+}
+
+// register adds an incarnation or moves its state forward. One that started later than
+// the one held replaces it: the former one is gone, and its flows with it. A failed
+// target stays failed, because a renewal may come long after it was sent; what it states
+// is its state once it is found alive.
 func (directory *Directory) register(stated Target) Result {
 	target, known := directory.targets.byID[stated.ID]
 	if !known {
 		return directory.admit(stated)
 	}
-	if stated.Sequence <= target.Sequence {
+	if target.StartedBefore(stated) {
+		directory.fail(target)
+		return directory.admit(stated)
+	}
+	if stated.Started < target.Started || stated.Sequence <= target.Sequence {
 		return Result{Token: target.Token}
 	}
+	directory.advance(target, stated)
+	return Result{Token: target.Token}
+}
+
+// advance takes in what an incarnation states of itself.
+func (directory *Directory) advance(target *Target, stated Target) {
 	target.Sequence = stated.Sequence
+	if stated.Started != target.Started {
+		target.Started = stated.Started
+		directory.touch(target)
+	}
 	switch {
 	case target.State == TargetFailed:
 		target.Before = max(target.Before, stated.State)
@@ -118,7 +139,6 @@
 		directory.touch(target)
 	}
 	directory.changeColdness(target, stated)
-	return Result{Token: target.Token}
 }
 
 // admit gives a new incarnation its token.
@@ -158,9 +178,9 @@
 	directory.touch(target)
 }
 
-func (directory *Directory) leave(id TargetID) {
-	target, known := directory.targets.byID[id]
-	if !known {
+func (directory *Directory) leave(departure *Departure) {
+	target, known := directory.targets.byID[departure.ID]
+	if !known || (departure.Started != 0 && departure.Started != target.Started) {
 		return
 	}
 	switch {
@@ -173,15 +193,15 @@
 }
 
 func (directory *Directory) changeHealth(change *HealthChange) {
-	for _, id := range change.Failed {
-		if target, known := directory.targets.byID[id]; known {
+	for _, token := range change.Failed {
+		if target, known := directory.targets.find(token); known {
 			directory.fail(target)
 		}
 	}
 	directory.setAside(change.Aside, true)
 	directory.setAside(change.Back, false)
-	for _, id := range change.Recovered {
-		target, known := directory.targets.byID[id]
+	for _, token := range change.Recovered {
+		target, known := directory.targets.find(token)
 		if known && target.State == TargetFailed && directory.successor(target) == nil {
 			target.State = target.Before
 			directory.touch(target)
@@ -190,18 +210,21 @@
 }
 
 // setAside records whether targets get new flows.
-func (directory *Directory) setAside(ids []TargetID, aside bool) {
-	for _, id := range ids {
-		if target, known := directory.targets.byID[id]; known && target.Aside != aside {
+func (directory *Directory) setAside(tokens []Token, aside bool) {
+	for _, token := range tokens {
+		if target, known := directory.targets.find(token); known && target.Aside != aside {
 			target.Aside = aside
 			directory.touch(target)
 		}
 	}
 }
 
-// successor returns the later incarnation that has the target's address and
-// did not fail, or nil.
+// successor returns the later incarnation that has the target's identifier, or its
+// address and did not fail, or nil.
 func (directory *Directory) successor(target *Target) *Target {
+	if latest := directory.targets.byID[target.ID]; latest != nil && latest.Token > target.Token {
+		return latest
+	}
 	for _, other := range directory.targets.byAddress[target.Address] {
 		if other.Token > target.Token && other.State != TargetFailed {
 			return other
@@ -210,9 +233,9 @@
 	return nil
 }
 
-func (directory *Directory) forget(ids []TargetID) {
-	for _, id := range ids {
-		target, known := directory.targets.byID[id]
+func (directory *Directory) forget(tokens []Token) {
+	for _, token := range tokens {
+		target, known := directory.targets.find(token)
 		if !known {
 			continue
 		}
--- a/internal/direct/directory/changes.go
+++ b/internal/direct/directory/changes.go
@@ -25,6 +25,7 @@
 type TargetEntry struct {
 	Token   Token
 	ID      TargetID
+	Started StartTime
 	Service string
 	Address netip.AddrPort
 	Zone    string
@@ -111,6 +112,7 @@
 	return TargetEntry{
 		Token:    target.Token,
 		ID:       target.ID,
+		Started:  target.Started,
 		Service:  target.Service,
 		Address:  target.Address,
 		Zone:     target.Zone,
--- a/internal/direct/directory/command.go
+++ b/internal/direct/directory/command.go
@@ -13,13 +13,17 @@
 	Declare  *declared.Difference
 	Register *Registration
 	Leave    *Departure
-	Health   *HealthChange
-	Forget   *Forgetting
 	Evacuate *EvacuationOrder
+	// TargetHealth and ForgetTargets name incarnations by token. Entries of earlier
+	// programs named targets by identifier, in fields of other names, and change
+	// nothing any more: the leader finds anew what they said.
+	TargetHealth  *HealthChange
+	ForgetTargets *Forgetting
 }
 
-// Registration adds a target or changes its state. A registration whose
-// sequence is not above the target's latest one is late and changes nothing.
+// Registration adds a target or changes its state. A registration of a later start is
+// a new incarnation. One of a former start, or whose sequence is not above the
+// incarnation's latest one, is late and changes nothing.
 type Registration struct {
 	// Target has the stated fields; its token, revision and former state are
 	// ignored.
@@ -29,22 +33,24 @@
 // Departure tells that a target leaves for good.
 type Departure struct {
 	ID TargetID
+	// Started is the start of the incarnation that leaves; zero for the latest one.
+	Started StartTime
 }
 
 // HealthChange records that targets were found dead, or alive again, or leave
 // requests unanswered.
 type HealthChange struct {
-	Failed    []TargetID
-	Recovered []TargetID
+	Failed    []Token
+	Recovered []Token
 	// Aside are targets that get no new flows for now, Back those that do
 	// again.
-	Aside []TargetID
-	Back  []TargetID
+	Aside []Token
+	Back  []Token
 }
 
 // Forgetting takes targets out whose last flows are past their longest life.
 type Forgetting struct {
-	IDs []TargetID
+	Tokens []Token
 }
 
 // Result is the outcome of a command.
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -10,6 +10,7 @@
 //   - a token names one incarnation of one target for ever;
 //   - a target that drains never takes new flows again;
 //   - an incarnation of a target has at most one holder for ever;
+//   - of the incarnations with one identifier, all but the latest failed for good;
 //   - an order for a zone changes nothing if another order was applied since its
 //     member looked.
 package directory
@@ -28,9 +29,15 @@
 // means "no token". Tokens are given in ascending order and never reused.
 type Token uint32
 
-// TargetID is a target's own identifier of one incarnation. Zero means "none".
+// TargetID is a target's own identifier. Zero means "none". A target that starts again
+// may keep it.
 type TargetID uint64
 
+// StartTime is when an incarnation of a target started, in Unix milliseconds by the
+// target's own clock. Zero means that the target does not say. A target that starts
+// again under its identifier is another incarnation, and its start tells the two apart.
+type StartTime int64
+
 // TargetState is the state of one incarnation of a target.
 type TargetState uint8
 
@@ -60,6 +67,7 @@
 type Target struct {
 	ID      TargetID
 	Token   Token
+	Started StartTime
 	Service string
 	Address netip.AddrPort
 	Zone    string
@@ -169,7 +177,7 @@
 	return directory.configuration
 }
 
-// Target returns the target with the identifier.
+// Target returns the latest incarnation of the target with the identifier.
 func (directory *Directory) Target(id TargetID) (Target, bool) {
 	directory.lock.RLock()
 	defer directory.lock.RUnlock()
@@ -180,20 +188,42 @@
 	return *target, true
 }
 
-// Successor returns the later incarnation at the target's address, if there is
-// one that did not fail.
-func (directory *Directory) Successor(id TargetID) (TargetID, bool) {
+// Incarnation returns the incarnation with the token.
+func (directory *Directory) Incarnation(token Token) (Target, bool) {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	target, exists := directory.targets.find(token)
+	if !exists {
+		return Target{}, false
+	}
+	return *target, true
+}
+
+// TokenOf returns the token of the latest incarnation of the target with the identifier.
+func (directory *Directory) TokenOf(id TargetID) (Token, bool) {
 	directory.lock.RLock()
 	defer directory.lock.RUnlock()
 	target, exists := directory.targets.byID[id]
 	if !exists {
 		return 0, false
 	}
+	return target.Token, true
+}
+
+// Successor returns the later incarnation that took an incarnation's address or
+// identifier, if there is one that did not fail.
+func (directory *Directory) Successor(token Token) (Target, bool) {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	target, exists := directory.targets.find(token)
+	if !exists {
+		return Target{}, false
+	}
 	other := directory.successor(target)
 	if other == nil {
-		return 0, false
+		return Target{}, false
 	}
-	return other.ID, true
+	return *other, true
 }
 
 // Targets returns copies of all targets in the order of their tokens.
--- a/internal/direct/directory/targets.go
+++ b/internal/direct/directory/targets.go
@@ -18,12 +18,12 @@
 	revision model.Revision
 }
 
-// targetIndex has the targets by their identifiers, their addresses, in the
-// order of their tokens, and in the order of their changes.
+// targetIndex has the incarnations of targets by their identifiers, their addresses,
+// in the order of their tokens, and in the order of their changes.
 //
-// Invariants: each target stands once in byID, ordered and byAddress; the last
-// entry of changes with its revision is the target's latest one; the revisions
-// of changes never go back.
+// Invariants: each incarnation stands once in ordered and byAddress; byID has the latest
+// one of each identifier; the last entry of changes with its revision is the
+// incarnation's latest one; the revisions of changes never go back.
 type targetIndex struct {
 	byID      map[TargetID]*Target
 	byAddress map[netip.AddrPort][]*Target
@@ -44,14 +44,29 @@
 
 // remove takes a target out.
 func (index *targetIndex) remove(target *Target) {
-	delete(index.byID, target.ID)
+	if index.byID[target.ID] == target {
+		delete(index.byID, target.ID)
+	}
 	index.leaveAddress(target)
-	place, found := slices.BinarySearchFunc(index.ordered, target.Token, func(other *Target, token Token) int {
+	if place, found := index.place(target.Token); found {
+		index.ordered = slices.Delete(index.ordered, place, place+1)
+	}
+}
+
+// place returns where the incarnation with the token stands in ordered.
+func (index *targetIndex) place(token Token) (int, bool) {
+	return slices.BinarySearchFunc(index.ordered, token, func(other *Target, token Token) int {
 		return cmp.Compare(other.Token, token)
 	})
-	if found {
-		index.ordered = slices.Delete(index.ordered, place, place+1)
+}
+
+// find returns the incarnation with the token.
+func (index *targetIndex) find(token Token) (*Target, bool) {
+	place, found := index.place(token)
+	if !found {
+		return nil, false
 	}
+	return index.ordered[place], true
 }
 
 func (index *targetIndex) leaveAddress(target *Target) {
@@ -85,7 +100,11 @@
 // latest tells whether an entry is the latest change of a target that is still
 // there.
 func (index *targetIndex) latest(entry touched) bool {
-	return entry.target.Revision == entry.revision && index.byID[entry.target.ID] == entry.target
+	if entry.target.Revision != entry.revision {
+		return false
+	}
+	_, present := index.find(entry.target.Token)
+	return present
 }
 
 // changedSince returns the targets that changed after a revision, in the order
--- a/internal/direct/feed/feed.go
+++ b/internal/direct/feed/feed.go
@@ -110,7 +110,7 @@
 type HealthReport struct {
 	// Hops is the number of balancers that passed the report on.
 	Hops    uint8
-	ID      directory.TargetID
+	Token   directory.Token
 	Verdict Verdict
 	// Balancer is the balancer that probed.
 	Balancer model.NodeName
@@ -119,7 +119,7 @@
 // OutcomeCount has the requests that a balancer sent to a target, by whether
 // and how they were answered.
 type OutcomeCount struct {
-	ID         directory.TargetID
+	Token      directory.Token
 	Answered   uint32
 	Unanswered uint32
 	// Hasty are those of the answered ones whose answers came far sooner, and were far
--- a/internal/direct/forwarder/suspects.go
+++ b/internal/direct/forwarder/suspects.go
@@ -108,6 +108,6 @@
 		verdict = feed.VerdictRefused
 	}
 	if member != "" {
-		suspects.mailbox.Send(member, feed.HealthReport{ID: target.ID, Verdict: verdict, Balancer: suspects.mailbox.Self})
+		suspects.mailbox.Send(member, feed.HealthReport{Token: token, Verdict: verdict, Balancer: suspects.mailbox.Self})
 	}
 }
--- a/internal/direct/outcome/tracker.go
+++ b/internal/direct/outcome/tracker.go
@@ -33,7 +33,7 @@
 	flows   requests.Continuity
 
 	lock   sync.Mutex
-	counts map[directory.TargetID]feed.OutcomeCount
+	counts map[directory.Token]feed.OutcomeCount
 	usual  usualAnswers
 	toldAt time.Time
 }
@@ -49,7 +49,7 @@
 	return &Tracker{
 		mailbox: mailbox,
 		follows: follows,
-		counts:  make(map[directory.TargetID]feed.OutcomeCount),
+		counts:  make(map[directory.Token]feed.OutcomeCount),
 		usual:   make(usualAnswers),
 	}
 }
@@ -64,14 +64,14 @@
 	}
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
-	counted := tracker.counts[target.ID]
-	counted.ID = target.ID
+	counted := tracker.counts[target.Token]
+	counted.Token = target.Token
 	if ending == requests.Answered {
 		counted.Answered++
 	} else {
 		counted.Unanswered++
 	}
-	tracker.counts[target.ID] = counted
+	tracker.counts[target.Token] = counted
 }
 
 // Came implements requests.AnswerObserver.
@@ -81,10 +81,10 @@
 	if !tracker.usual.learn(answer) {
 		return
 	}
-	counted := tracker.counts[answer.Target.ID]
-	counted.ID = answer.Target.ID
+	counted := tracker.counts[answer.Target.Token]
+	counted.Token = answer.Target.Token
 	counted.Hasty++
-	tracker.counts[answer.Target.ID] = counted
+	tracker.counts[answer.Target.Token] = counted
 }
 
 // Receiving implements requests.Listener.
@@ -121,6 +121,6 @@
 		report.Counts = append(report.Counts, counted)
 		worth = worth || counted.Unanswered > 0 || counted.Hasty > 0
 	}
-	slices.SortFunc(report.Counts, func(left, right feed.OutcomeCount) int { return cmp.Compare(left.ID, right.ID) })
+	slices.SortFunc(report.Counts, func(left, right feed.OutcomeCount) int { return cmp.Compare(left.Token, right.Token) })
 	return report, worth
 }
--- a/internal/direct/registrar/calls.go
+++ b/internal/direct/registrar/calls.go
@@ -35,9 +35,9 @@
 }
 
 // Leave takes a target's notice that it leaves for good.
-func (calls *Calls) Leave(ctx context.Context, id directory.TargetID) error {
+func (calls *Calls) Leave(ctx context.Context, departure directory.Departure) error {
 	return calls.wait(ctx, func(now, deadline time.Time, done func(error)) {
-		calls.registrar.Leave(now, id, deadline, done)
+		calls.registrar.Leave(now, departure, deadline, done)
 	})
 }
 
--- a/internal/direct/registrar/health.go
+++ b/internal/direct/registrar/health.go
@@ -45,7 +45,7 @@
 
 	// looked is kept between looks at the targets, to spare its memory.
 	looked   []directory.Target
-	observed map[directory.TargetID]*observation
+	observed map[directory.Token]*observation
 	// now is the time of the present Reconcile.
 	now time.Time
 	// since is when this member began to lead.
@@ -74,8 +74,8 @@
 	}
 }
 
-func newObserved() map[directory.TargetID]*observation {
-	return make(map[directory.TargetID]*observation)
+func newObserved() map[directory.Token]*observation {
+	return make(map[directory.Token]*observation)
 }
 
 // Name implements board.Controller.
--- a/internal/direct/registrar/health_inspect.go
+++ b/internal/direct/registrar/health_inspect.go
@@ -43,11 +43,11 @@
 
 // observation returns what is remembered of the target. One that is new to the
 // leader counts as heard from just now.
-func (health *Health) observation(id directory.TargetID) *observation {
-	known := health.observed[id]
+func (health *Health) observation(token directory.Token) *observation {
+	known := health.observed[token]
 	if known == nil {
 		known = &observation{seenAt: health.now, renewedAt: health.now}
-		health.observed[id] = known
+		health.observed[token] = known
 	}
 	return known
 }
@@ -60,7 +60,7 @@
 		health.dropForgotten()
 	}
 	for _, target := range targets {
-		known := health.observation(target.ID)
+		known := health.observation(target.Token)
 		switch target.State {
 		case directory.TargetFailed:
 			health.inspectFailed(now, &target, known)
@@ -77,16 +77,16 @@
 
 // dropForgotten forgets observations of targets that are not in the directory.
 func (health *Health) dropForgotten() {
-	for id := range health.observed {
-		if _, exists := health.directory.Target(id); !exists {
-			delete(health.observed, id)
+	for token := range health.observed {
+		if _, exists := health.directory.Incarnation(token); !exists {
+			delete(health.observed, token)
 		}
 	}
 }
 
 func (health *Health) probeWhenSilent(now time.Time, target *directory.Target, known *observation, limit time.Duration) {
 	if now.Sub(known.seenAt) >= limit {
-		health.probe(now, target.ID, target.Address)
+		health.probe(now, target.Token, target.Address)
 	}
 }
 
@@ -97,7 +97,7 @@
 	switch {
 	case now.Sub(known.failedAt) > health.options.ForgetAfter:
 		health.logger.Info("target forgotten", zap.Uint64("target", uint64(target.ID)), zap.Duration("failed_for", now.Sub(known.failedAt)))
-		health.propose(now, target.ID, directory.Command{Forget: &directory.Forgetting{IDs: []directory.TargetID{target.ID}}})
+		health.propose(now, target.Token, directory.Command{ForgetTargets: &directory.Forgetting{Tokens: []directory.Token{target.Token}}})
 	case known.renewedAt.After(known.failedAt) && now.Sub(known.renewedAt) <= health.options.MissedAfter:
 		health.reconsider(now, target, known)
 	}
@@ -107,19 +107,19 @@
 // sent before the target died, so that it must then answer a probe; and another
 // incarnation may have its address by now, which answers in its place.
 func (health *Health) reconsider(now time.Time, target *directory.Target, known *observation) {
-	if successor, replaced := health.directory.Successor(target.ID); replaced {
-		if known.renewedAt.Sub(health.observation(successor).renewedAt) >= health.options.MissedAfter*missedToYield {
+	if successor, replaced := health.directory.Successor(target.Token); replaced {
+		if known.renewedAt.Sub(health.observation(successor.Token).renewedAt) >= health.options.MissedAfter*missedToYield {
 			health.fail(now, successor, "a former incarnation renews at its address")
 		}
 		return
 	}
 	if !known.answeredAt.After(known.renewedAt) {
-		health.probe(now, target.ID, target.Address)
+		health.probe(now, target.Token, target.Address)
 		return
 	}
 	health.logger.Info("target recovered", zap.Uint64("target", uint64(target.ID)), zap.Duration("failed_for", now.Sub(known.failedAt)))
 	known.failedAt = time.Time{}
-	health.propose(now, target.ID, directory.Command{Health: &directory.HealthChange{Recovered: []directory.TargetID{target.ID}}})
+	health.propose(now, target.Token, directory.Command{TargetHealth: &directory.HealthChange{Recovered: []directory.Token{target.Token}}})
 }
 
 // missedToYield is how many renewals in a row the later incarnation at an
--- a/internal/direct/registrar/health_outcomes.go
+++ b/internal/direct/registrar/health_outcomes.go
@@ -26,19 +26,25 @@
 	if len(verdict.Aside)+len(verdict.Back) == 0 {
 		return
 	}
-	for _, id := range verdict.Aside {
-		health.logger.Info("target set aside", zap.Uint64("target", uint64(id)), zap.String("cause", string(verdict.Causes[id])))
+	for _, token := range verdict.Aside {
+		health.logger.Info("target set aside", health.targetField(token), zap.String("cause", string(verdict.Causes[token])))
 	}
-	for _, id := range verdict.Back {
-		health.logger.Info("target gets new flows again", zap.Uint64("target", uint64(id)))
+	for _, token := range verdict.Back {
+		health.logger.Info("target gets new flows again", health.targetField(token))
 	}
-	data, err := directory.EncodeCommand(directory.Command{Health: &directory.HealthChange{Aside: verdict.Aside, Back: verdict.Back}})
+	data, err := directory.EncodeCommand(directory.Command{TargetHealth: &directory.HealthChange{Aside: verdict.Aside, Back: verdict.Back}})
 	if err != nil {
 		return
 	}
 	health.group.Submit(data, func([]byte, error) {})
 }
 
+// targetField names the target of an incarnation in a log line.
+func (health *Health) targetField(token directory.Token) zap.Field {
+	target, _ := health.directory.Incarnation(token)
+	return zap.Uint64("target", uint64(target.ID))
+}
+
 // judgeInterval is the time between two decisions about outcomes; the former one
 // is applied by then.
 const judgeInterval = 500 * time.Millisecond
--- a/internal/direct/registrar/health_renewals.go
+++ b/internal/direct/registrar/health_renewals.go
@@ -63,10 +63,16 @@
 	}
 }
 
-// note takes renewals in.
+// note takes renewals in. A renewal counts for the latest incarnation of its target: a
+// former one is gone for good. One of a target that is not in the directory is one of a
+// registration that was not committed.
 func (health *Health) note(now time.Time, renewals []Renewal) {
 	for _, renewal := range renewals {
-		known := health.observation(renewal.ID)
+		token, exists := health.directory.TokenOf(renewal.ID)
+		if !exists {
+			continue
+		}
+		known := health.observation(token)
 		renewedAt := now.Add(-renewal.Ago)
 		if renewedAt.After(known.renewedAt) {
 			known.renewedAt = renewedAt
--- a/internal/direct/registrar/registrar.go
+++ b/internal/direct/registrar/registrar.go
@@ -74,7 +74,8 @@
 
 // Register takes a target's registration or renewal. It is done once what it
 // changed is durable on a majority; a renewal that changes nothing is not
-// committed.
+// committed. One of a start before the latest known one is refused: that incarnation is
+// gone.
 func (registrar *Registrar) Register(now time.Time, stated directory.Target, deadline time.Time, done func(error)) {
 	if err := checkTarget(stated); err != nil {
 		done(err)
@@ -84,8 +85,13 @@
 		done(err)
 		return
 	}
+	known, exists := registrar.directory.Target(stated.ID)
+	if exists && stated.Started < known.Started {
+		done(faults.New(faults.RegistrationInvalid, "started: %d, but the target started again at %d", stated.Started, known.Started))
+		return
+	}
 	registrar.renewals.Put(stated.ID, now)
-	if known, exists := registrar.directory.Target(stated.ID); exists && registrar.isRenewal(known, stated) {
+	if exists && registrar.isRenewal(known, stated) {
 		done(nil)
 		return
 	}
@@ -94,6 +100,7 @@
 	registrar.proposer.Propose(command, deadline, func(result directory.Result, err error) {
 		registrar.logger.Info("target registered",
 			zap.Uint64("target", uint64(stated.ID)),
+			zap.Int64("started", int64(stated.Started)),
 			zap.String("service", stated.Service),
 			zap.Stringer("address", stated.Address),
 			zap.Stringer("state", stated.State),
@@ -109,7 +116,7 @@
 func (registrar *Registrar) isRenewal(known, stated directory.Target) bool {
 	_, bounded := registrar.directory.ColdLimit(known.Service)
 	sameColdness := (known.Cold > 0) == (stated.Cold > 0)
-	return (sameColdness || !bounded) && known.State != directory.TargetFailed &&
+	return known.Started == stated.Started && (sameColdness || !bounded) && known.State != directory.TargetFailed &&
 		stated.State <= known.State &&
 		stated.Address == known.Address &&
 		stated.Capacity == known.Capacity
@@ -146,8 +153,8 @@
 }
 
 // Leave takes a target's notice that it leaves for good.
-func (registrar *Registrar) Leave(now time.Time, id directory.TargetID, deadline time.Time, done func(error)) {
-	if id == 0 {
+func (registrar *Registrar) Leave(now time.Time, departure directory.Departure, deadline time.Time, done func(error)) {
+	if departure.ID == 0 {
 		done(faults.New(faults.RegistrationInvalid, "id: is missing"))
 		return
 	}
@@ -155,9 +162,9 @@
 		done(err)
 		return
 	}
-	command := directory.Command{Leave: &directory.Departure{ID: id}}
+	command := directory.Command{Leave: &departure}
 	registrar.proposer.Propose(command, deadline, func(_ directory.Result, err error) {
-		registrar.logger.Info("target leaves", zap.Uint64("target", uint64(id)), zap.Error(err))
+		registrar.logger.Info("target leaves", zap.Uint64("target", uint64(departure.ID)), zap.Int64("started", int64(departure.Started)), zap.Error(err))
 		done(err)
 	})
 }
--- a/internal/direct/renewal/relay.go
+++ b/internal/direct/renewal/relay.go
@@ -65,6 +65,7 @@
 	known, exists := relay.table.FindTarget(stated.ID)
 	sameColdness := (known.Cold > 0) == (stated.Cold > 0)
 	unchanged := exists &&
+		known.Started == stated.Started &&
 		(sameColdness || !relay.table.ColdBounded(known.Service)) &&
 		known.State == directory.TargetReady &&
 		stated.State == directory.TargetReady &&
--- a/internal/direct/steer/apply.go
+++ b/internal/direct/steer/apply.go
@@ -14,9 +14,11 @@
 	first := table.revision == 0
 	table.routes = make(map[netip.AddrPort]route, len(changes.Routes))
 	table.targets = make(map[directory.Token]*record, len(changes.Targets))
-	for token, known := range former {
-		if contains(changes.Targets, token) {
-			table.targets[token] = known
+	table.latest = make(map[directory.TargetID]*record, len(changes.Targets))
+	for index := range changes.Targets {
+		token := changes.Targets[index].Token
+		if known, stays := former[token]; stays {
+			table.add(known)
 		}
 	}
 	table.mergeZones(changes.Zones)
@@ -25,13 +27,23 @@
 	table.mergeTargets(changes.Targets, now, first)
 }
 
-func contains(targets []directory.TargetEntry, token directory.Token) bool {
-	for index := range targets {
-		if targets[index].Token == token {
-			return true
-		}
+// add takes a target's record in, and remove takes it out.
+func (table *Table) add(added *record) {
+	table.targets[added.Token] = added
+	if latest := table.latest[added.ID]; latest == nil || latest.Token < added.Token {
+		table.latest[added.ID] = added
+	}
+}
+
+func (table *Table) remove(token directory.Token) {
+	removed, known := table.targets[token]
+	if !known {
+		return
+	}
+	delete(table.targets, token)
+	if table.latest[removed.ID] == removed {
+		delete(table.latest, removed.ID)
 	}
-	return false
 }
 
 func (table *Table) merge(changes directory.Changes, now time.Time) {
@@ -39,7 +51,7 @@
 		delete(table.routes, address)
 	}
 	for _, token := range changes.Forgotten {
-		delete(table.targets, token)
+		table.remove(token)
 	}
 	table.mergeZones(changes.Zones)
 	table.coldness.merge(changes.ColdLimits)
@@ -74,11 +86,11 @@
 	for _, entry := range entries {
 		known := table.targets[entry.Token]
 		if known == nil {
-			known = &record{seed: seedOf(entry.ID)}
+			known = &record{TargetEntry: entry, seed: seedOf(entry.ID)}
 			if !first {
 				known.warmAt = now.Add(entry.Cold)
 			}
-			table.targets[entry.Token] = known
+			table.add(known)
 		}
 		if known.State != entry.State {
 			known.avoidUntil = time.Time{}
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -70,10 +70,28 @@
 	if !known {
 		return Decision{Reason: ReasonUnknownToken}
 	}
-	if target.State == directory.TargetFailed {
-		return resetUnlessAbort(segment, ReasonTargetFailed)
+	if target.State != directory.TargetFailed {
+		return forwardTo(target, ReasonOwner)
 	}
-	return forwardTo(target, ReasonOwner)
+	if restarted := table.restartedInPlace(target); restarted != nil {
+		return forwardTo(restarted, ReasonRestarted)
+	}
+	return resetUnlessAbort(segment, ReasonTargetFailed)
+}
+
+// restartedInPlace returns the latest incarnation of a failed target, if it started again
+// at the same address. Flows that opened there before balancers knew of the new start
+// have the former token, and only the target knows which flows those are: it resets all
+// others by itself. nil for none.
+func (table *Table) restartedInPlace(failed *record) *record {
+	latest := table.latest[failed.ID]
+	if latest == nil || latest.Token <= failed.Token || latest.State == directory.TargetFailed {
+		return nil
+	}
+	if latest.Address != failed.Address || latest.Service != failed.Service {
+		return nil
+	}
+	return latest
 }
 
 func forwardTo(target *record, reason Reason) Decision {
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -110,13 +110,16 @@
 	// ReasonNoHome: the pool's part has targets, but none in a region that may serve
 	// the route.
 	ReasonNoHome
+	// ReasonRestarted: the flow's target started again at its address, and tells by itself
+	// which flows it has.
+	ReasonRestarted
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"chosen", "owner", "no_table", "no_route", "no_route_stale", "no_target",
 	"unknown_token", "target_failed", "missing_token", "overloaded", "link_full",
-	"evacuated", "cold", "no_home",
+	"evacuated", "cold", "no_home", "restarted",
 }
 
 // String returns the reason's stable name.
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -83,8 +83,11 @@
 	idleTimeout  time.Duration
 	routes       map[netip.AddrPort]route
 	targets      map[directory.Token]*record
-	services     map[serviceKey]*service
-	coldness     coldness
+	// latest has the latest incarnation of each target, so that a renewal is looked up
+	// without a look at all targets.
+	latest   map[directory.TargetID]*record
+	services map[serviceKey]*service
+	coldness coldness
 	// evacuated are the zones whose targets get no new flows, by name.
 	evacuated map[string]directory.Evacuation
 	changes   board.Notifier
@@ -98,6 +101,7 @@
 		options:  options,
 		routes:   make(map[netip.AddrPort]route),
 		targets:  make(map[directory.Token]*record),
+		latest:   make(map[directory.TargetID]*record),
 		services: make(map[serviceKey]*service),
 	}
 }
@@ -248,16 +252,15 @@
 	return target.TargetEntry, true
 }
 
-// FindTarget returns the target with the identifier.
+// FindTarget returns the latest incarnation of the target with the identifier.
 func (table *Table) FindTarget(id directory.TargetID) (directory.TargetEntry, bool) {
 	table.lock.RLock()
 	defer table.lock.RUnlock()
-	for _, target := range table.targets {
-		if target.ID == id {
-			return target.TargetEntry, true
-		}
+	target, known := table.latest[id]
+	if !known {
+		return directory.TargetEntry{}, false
 	}
-	return directory.TargetEntry{}, false
+	return target.TargetEntry, true
 }
 
 // Avoid keeps new flows off a target that a probe found dead.
--- a/internal/sim/directworld/caller.go
+++ b/internal/sim/directworld/caller.go
@@ -261,6 +261,18 @@
 	if flow.target != nil {
 		flow.world.checks.wasReset(flow, by)
 	}
+	flow.breakOff()
+}
+
+// resetByTarget ends the flow because the target at its address does not have it.
+func (flow *flow) resetByTarget() {
+	if !flow.ended {
+		flow.breakOff()
+	}
+}
+
+// breakOff ends the flow without an answer to what it asked.
+func (flow *flow) breakOff() {
 	flow.end()
 	if flow.call != nil {
 		flow.call.ended(flow, false)
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -57,6 +57,11 @@
 		summary: "targets leave without draining, and renewals of targets that died, or whose address another one has, come seconds late",
 		play:    lateCalls,
 	},
+	{
+		name:    "direct-restarted-targets",
+		summary: "targets crash and start again under their identifiers while calls of their former starts come seconds late",
+		play:    restartedTargets,
+	},
 	{
 		name:    "direct-cut-balancers",
 		summary: "balancers are cut off from all members, not from each other, while targets and configurations change",
@@ -270,6 +275,30 @@
 	}
 }
 
+// startKnownWithin is how long after a target's new start every balancer knows it: its first
+// call comes within a renewal interval, and a call that is lost is repeated with the next.
+const startKnownWithin = 2 * renewalInterval
+
+func restartedTargets(world *World) {
+	for round := range 4 {
+		var restarted []*target
+		for _, target := range world.livingTargets(3) {
+			world.disturb("restart", target.address.String())
+			target.repeatLate(world.random.Between(0, 6*time.Second))
+			restarted = append(restarted, target.Restart())
+		}
+		world.RunFor(startKnownWithin)
+		for _, target := range restarted {
+			world.checks.startIsKnown(target)
+		}
+		if round%2 == 1 {
+			world.disturb("death", restarted[0].address.String())
+			restarted[0].Die(true)
+		}
+		world.RunFor(9 * time.Second)
+	}
+}
+
 // cutFromMembers cuts balancers off from all members for a while.
 func (world *World) cutFromMembers(balancers []*balancer, duration time.Duration) {
 	var heals []func()
