Let services follow their targets, and choose among thousands by groups

Cause: at each change a balancer collected all targets of its table anew, and at each opening packet it looked at every target of the service. While thousands of targets register, a balancer takes up to eighteen changes a second: at 10,000 targets 18 times 1.9 ms is 18% of a fleet balancer's 0.192 cores, at 20,000 (18 times 6.4 ms) 60%. Both grow with the fleet, and changes come with the fleet as well. Ruled out: fewer changes a second (they would be in force later); an index built anew at each change (the same cost). Change: a change touches the services of its own targets; zones, bounds and homes, which come seldom, still collect all. A pool above 512 targets is kept in groups of 16 to 32 whose weight is that of their targets, so that each target gets flows by its weight; below that the choice is what it was, target by target. Conclusion: neither grows with the changes of the fleet; the choice grows with the root.

--- a/internal/direct/steer/apply.go
+++ b/internal/direct/steer/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"merlinpaddle/internal/direct/directory"
@@ -25,6 +26,7 @@
 	table.coldness.merge(changes.ColdLimits)
 	table.mergeRoutes(changes.Routes)
 	table.mergeTargets(changes.Targets, now, first)
+	table.rebuildServices()
 }
 
 // add takes a target's record in, and remove takes it out.
@@ -46,17 +48,41 @@
 	}
 }
 
+// merge takes changes in. Those of targets alone, which come all the time, change the
+// services of these targets; others concern all targets, and come seldom.
 func (table *Table) merge(changes directory.Changes, now time.Time) {
 	for _, address := range changes.Removed {
 		delete(table.routes, address)
 	}
+	table.mergeRoutes(changes.Routes)
+	if changes.Zones == nil && changes.ColdLimits == nil && slices.Equal(table.homesHeld, table.homes()) {
+		table.changeTargets(changes, now)
+		return
+	}
 	for _, token := range changes.Forgotten {
 		table.remove(token)
 	}
 	table.mergeZones(changes.Zones)
 	table.coldness.merge(changes.ColdLimits)
-	table.mergeRoutes(changes.Routes)
 	table.mergeTargets(changes.Targets, now, false)
+	table.rebuildServices()
+}
+
+// changeTargets takes changes of targets in, each at its services.
+func (table *Table) changeTargets(changes directory.Changes, now time.Time) {
+	for _, token := range changes.Forgotten {
+		if forgotten, known := table.targets[token]; known {
+			table.leave(forgotten)
+			table.remove(token)
+		}
+	}
+	for _, entry := range changes.Targets {
+		if former, known := table.targets[entry.Token]; known {
+			table.leave(former)
+		}
+		table.join(table.mergeTarget(entry, now, false), nil)
+	}
+	table.settleServices()
 }
 
 // mergeZones takes in which zones are evacuated; nil changes nothing.
@@ -84,69 +110,28 @@
 // balancer's first table, so that nobody knows how long ago they started.
 func (table *Table) mergeTargets(entries []directory.TargetEntry, now time.Time, first bool) {
 	for _, entry := range entries {
-		known := table.targets[entry.Token]
-		if known == nil {
-			known = &record{TargetEntry: entry, seed: seedOf(entry.ID)}
-			if !first {
-				known.warmAt = now.Add(entry.Cold)
-			}
-			table.add(known)
-		}
-		if known.State != entry.State {
-			known.avoidUntil = time.Time{}
-		}
-		if entry.Cold == 0 {
-			known.warmAt = time.Time{}
-		}
-		known.TargetEntry = entry
-		known.region = table.options.Regions[entry.Zone]
-		known.near = entry.Zone != "" && entry.Zone == table.options.Zone
+		table.mergeTarget(entry, now, first)
 	}
 }
 
-// rebuildServices collects the targets that may take new flows, for each home that a
-// route has.
-func (table *Table) rebuildServices() {
-	services := make(map[serviceKey]*service)
-	homes := table.homes()
-	for _, target := range table.targets {
-		if target.State != directory.TargetReady {
-			continue
-		}
-		for _, home := range homes {
-			if home.allows(target.region) {
-				table.collect(services, serviceKey{name: target.Service, home: home}, target)
-			}
+// mergeTarget adds or changes one target and returns its record.
+func (table *Table) mergeTarget(entry directory.TargetEntry, now time.Time, first bool) *record {
+	known := table.targets[entry.Token]
+	if known == nil {
+		known = &record{TargetEntry: entry, seed: seedOf(entry.ID)}
+		if !first {
+			known.warmAt = now.Add(entry.Cold)
 		}
+		table.add(known)
 	}
-	for key, built := range services {
-		built.restrictCold(table.coldness.perSecond[key.name], table.options.Self)
-		built.measure()
-		built.measureZones()
+	if known.State != entry.State {
+		known.avoidUntil = time.Time{}
 	}
-	table.services = services
-}
-
-// collect adds a target to a service, which keeps what it learned. One in an evacuated
-// zone takes no new flows.
-func (table *Table) collect(services map[serviceKey]*service, key serviceKey, target *record) {
-	built := services[key]
-	if built == nil {
-		built = newService(table.services[key])
-		services[key] = built
-	}
-	if evacuation, evacuated := table.evacuated[target.Zone]; evacuated {
-		built.evacuatedSince = max(built.evacuatedSince, evacuation.Since)
-		return
-	}
-	built.targets = append(built.targets, target)
-}
-
-// measure adds up the capacity of the targets that take new flows, which is what load is
-// compared with.
-func (service *service) measure() {
-	service.capacity = 0
-	for _, target := range service.targets {
-		service.capacity += target.Capacity
+	if entry.Cold == 0 {
+		known.warmAt = time.Time{}
 	}
+	known.TargetEntry = entry
+	known.region = table.options.Regions[entry.Zone]
+	known.near = entry.Zone != "" && entry.Zone == table.options.Zone
+	return known
 }
--- a/internal/direct/steer/choices.go
+++ b/internal/direct/steer/choices.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -113,20 +112,16 @@
 }
 
 // rank fills choices with the best targets for the hash, by weighted rendezvous
-// hashing, in which near targets have nearWeight times their weight. Targets that are avoided are left out while others are
-// there.
-func (service *service) rank(hash uint64, now time.Time, nearWeight float64, choices *choices) {
-	for _, target := range service.targets {
-		if target.usable(now) {
-			choices.add(target, target.score(hash, now, nearWeight))
-		}
-	}
+// hashing, in which near targets have nearWeight times their weight. Targets that are
+// avoided are left out while others are there.
+func (service *service) rank(by ranking, choices *choices) {
+	service.pool.rank(by, choices)
 	if choices.count > 0 {
 		return
 	}
-	for _, target := range service.targets {
-		choices.add(target, target.score(hash, now, nearWeight))
-	}
+	service.pool.all(func(target *record) {
+		choices.add(target, target.score(by.hash, by.now, by.nearWeight))
+	})
 }
 
 func (target *record) usable(now time.Time) bool {
@@ -143,9 +138,7 @@
 	if now.Before(target.warmAt) {
 		weight *= coldWeight
 	}
-	mixed := mix(hash ^ target.seed)
-	uniform := (float64(mixed>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(uniform)
+	return rendezvousScore(weight, hash^target.seed)
 }
 
 // mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
--- a/internal/direct/steer/coldness.go
+++ b/internal/direct/steer/coldness.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"merlinpaddle/internal/direct/directory"
-	"merlinpaddle/internal/model"
 )
 
 // holderWindow is the span in which the holder of a cold target gives it no more new
@@ -39,30 +38,6 @@
 	return table.coldness.perSecond[service] > 0
 }
 
-// restrictCold settles which targets of a bounded service are cold, and which of them
-// this balancer holds. Others take none of its new flows: no balancer but the holder
-// can know what the others send, so that the sum over all keeps the bound whatever
-// their tables say. With half the weight for cold targets, 88 balancers brought 12 new
-// flows in a second where 11 were allowed (docs/design/zones.md).
-func (service *service) restrictCold(perSecond float64, self model.NodeName) {
-	if perSecond <= 0 {
-		return
-	}
-	warm := service.targets[:0]
-	for _, target := range service.targets {
-		if target.Cold == 0 {
-			warm = append(warm, target)
-			continue
-		}
-		service.cold++
-		if target.Holder == self && self != "" {
-			service.held = append(service.held, target)
-		}
-	}
-	service.targets = warm
-	service.heldRate = perSecond
-}
-
 // holding counts the new flows that a balancer gave to a cold target that it holds.
 type holding struct {
 	lock  sync.Mutex
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -111,7 +111,7 @@
 	if service == nil {
 		return table.refuseHome(segment, name, route, now)
 	}
-	if len(service.targets) == 0 {
+	if service.pool.count == 0 {
 		return table.openWithoutTargets(service, hash, segment, route, now)
 	}
 	candidate := table.candidate(service, hash, segment, route, now)
@@ -143,7 +143,7 @@
 // or one elsewhere when these have no room.
 func (table *Table) candidate(service *service, hash uint64, segment Segment, route route, now time.Time) candidate {
 	var choices choices
-	service.rank(hash, now, table.nearWeightOf(service), &choices)
+	service.rank(ranking{hash: hash, now: now, nearWeight: table.nearWeightOf(service)}, &choices)
 	choices.leastBusyFirst(table.options)
 	chosen, former := choices.pick(segment)
 	place := placeOf(chosen)
--- a/internal/direct/steer/locality.go
+++ b/internal/direct/steer/locality.go
@@ -45,20 +45,12 @@
 // measureZones settles the greatest weight of near targets with which they get no more than
 // mostShare allows.
 func (service *service) measureZones() {
-	near := 0
-	capacities := make(map[string]int)
-	for _, target := range service.targets {
-		capacities[target.Zone] += target.slots()
-		if target.near {
-			near += target.slots()
-		}
-	}
-	total := 0
-	for _, capacity := range capacities {
-		total += capacity
+	near, total := service.nearSlots, 0
+	for _, slots := range service.zoneSlots {
+		total += slots
 	}
 	service.mostNearWeight = math.Inf(1)
-	share := mostShare * float64(near) * float64(len(capacities)) / float64(total)
+	share := mostShare * float64(near) * float64(len(service.zoneSlots)) / float64(total)
 	if near == 0 || share >= 1 {
 		return
 	}
@@ -77,7 +69,7 @@
 		return nil
 	}
 	var elsewhere choices
-	service.rankElsewhere(hash, now, &elsewhere)
+	service.pool.rank(ranking{hash: hash, now: now}, &elsewhere)
 	var least *record
 	lowest := pressure * spillRatio
 	for _, target := range elsewhere.targets[:min(elsewhere.count, table.options.SpillCandidates)] {
@@ -93,12 +85,3 @@
 	open, _ := table.options.Loads.Load(target.Token)
 	return target.pressure(open)
 }
-
-// rankElsewhere fills choices with the best targets of other zones for the hash.
-func (service *service) rankElsewhere(hash uint64, now time.Time, choices *choices) {
-	for _, target := range service.targets {
-		if !target.near && target.usable(now) {
-			choices.add(target, target.score(hash, now, 1))
-		}
-	}
-}
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -42,20 +42,30 @@
 
 // service has the targets of a service that may take new flows.
 type service struct {
-	targets []*record
+	pool pool
+	// members is the number of its targets, with those that are cold or evacuated.
+	members int
+	// changing tells that its targets are being changed.
+	changing bool
 	// cold is the number of targets that take no flows of this balancer because they
 	// are cold, held ones included; held are those whose rate, heldRate new flows a
 	// second, this balancer holds.
 	cold     int
 	held     []*record
 	heldRate float64
+	// evacuated has the number of targets in emptied zones, by zone.
+	evacuated map[string]int
 	// evacuatedSince is the revision of the latest order that emptied a zone in which
 	// the service has targets; zero without one.
 	evacuatedSince model.Revision
 	// mostNearWeight bounds the weight of near targets against others.
 	mostNearWeight float64
-	// capacity is the sum of the targets' capacities.
+	// capacity is the sum of the capacities of the targets that take new flows, which is
+	// what load is compared with. zoneSlots are their slots by zone, and nearSlots those of
+	// the balancer's own.
 	capacity   int
+	zoneSlots  map[string]int
+	nearSlots  int
 	congestion *congestions
 	urgency    *urgency
 }
@@ -63,10 +73,11 @@
 // newService returns a service without targets that goes on from former, which
 // may be nil.
 func newService(former *service) *service {
+	made := &service{pool: newPool(), zoneSlots: make(map[string]int), congestion: &congestions{}, urgency: &urgency{}}
 	if former != nil {
-		return &service{congestion: former.congestion, urgency: former.urgency}
+		made.congestion, made.urgency = former.congestion, former.urgency
 	}
-	return &service{congestion: &congestions{}, urgency: &urgency{}}
+	return made
 }
 
 // Table is a balancer's copy of the directory. All methods may be called at
@@ -87,7 +98,11 @@
 	// without a look at all targets.
 	latest   map[directory.TargetID]*record
 	services map[serviceKey]*service
-	coldness coldness
+	// homesHeld are the homes for which services are kept, and unsettled the services whose
+	// targets are being changed.
+	homesHeld []home
+	unsettled []serviceKey
+	coldness  coldness
 	// evacuated are the zones whose targets get no new flows, by name.
 	evacuated map[string]directory.Evacuation
 	changes   board.Notifier
@@ -179,7 +194,6 @@
 	table.revision = changes.To
 	table.version = changes.Version
 	table.idleTimeout = changes.IdleTimeout
-	table.rebuildServices()
 	table.changes.Notify()
 	return true
 }
