Send a large table only to the balancers that a member feeds

Each balancer asks the three members of its settings first, and a member that feeds as many as it may answered with the whole table before it sent the balancer on: 184 KB to each of 329 balancers is 60 MB on a link of 420 Mbit/s, 1.2 s. The other members were up within 0.23 s, the three of the settings needed 0.5 to 1.1 s to their first view of the group, and one process held 319 MB. It grows with balancers times targets. Ruled out: elections (the group had its leader 0.2 s after the start); larger limits. Change: a refusal carries few changes as before, and no table that is packed; the balancer is at another member one question later. It confirms nothing. Figures: test with three members of which balancers know one, five followers each: no more than five tables a member (before, all fifteen at the first).

--- a/internal/direct/feed/feed_test.go
+++ b/internal/direct/feed/feed_test.go
@@ -24,6 +24,8 @@
 	publisher  *Publisher
 	fresh      bool
 	index      model.Revision
+	// names are the members of the group.
+	names []model.NodeName
 }
 
 // Confirmed implements Source.
@@ -33,10 +35,10 @@
 func (member *member) Depth() uint8 { return 0 }
 
 // Members implements Source.
-func (member *member) Members() []model.NodeName { return []model.NodeName{"a", "b"} }
+func (member *member) Members() []model.NodeName { return member.names }
 
 func newMember(name model.NodeName) *member {
-	created := &member{mailbox: protocol.NewMailbox(name), directory: directory.New(), fresh: true}
+	created := &member{mailbox: protocol.NewMailbox(name), directory: directory.New(), fresh: true, names: []model.NodeName{"a", "b"}}
 	created.dispatcher = protocol.NewDispatcher(created.mailbox)
 	created.publisher = NewPublisher(PublisherOptions{Limit: 64, TellsMembers: true}, created.mailbox, created.dispatcher, created.directory, created)
 	return created
--- a/internal/direct/feed/pack_test.go
+++ b/internal/direct/feed/pack_test.go
@@ -12,6 +12,7 @@
 
 	"merlinpaddle/internal/direct/declared"
 	"merlinpaddle/internal/direct/directory"
+	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/protocol"
 )
 
@@ -45,23 +46,73 @@
 	}
 }
 
-// TestLargeTablesArePackedOnce: a member whose table is large sends the same
-// packed bytes to all balancers that ask for it, and they take them in.
-func TestLargeTablesArePackedOnce(t *testing.T) {
-	only := newMember("a")
+// declareLarge gives the member a table that is packed.
+func (member *member) declareLarge(t *testing.T, version uint64) {
+	t.Helper()
 	services := []declared.Service{{Name: "feed"}}
-	next := &declared.Configuration{Version: 1, Services: services}
+	next := &declared.Configuration{Version: version, Services: services}
 	for index := range packFrom {
 		next.Routes = append(next.Routes, declared.Route{
 			Name: fmt.Sprint("r", index), Address: netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), uint16(index+1)),
 			Timeout: time.Second, Kind: declared.KindSafe, Pool: []declared.PoolPart{{Service: "feed", Weight: 1}},
 		})
 	}
-	difference := declared.Compare(only.directory.Configuration(), next)
+	difference := declared.Compare(member.directory.Configuration(), next)
 	data, err := directory.EncodeCommand(directory.Command{Declare: &difference})
 	require.NoError(t, err)
-	only.index++
-	only.directory.Apply(only.index, start, data)
+	member.index++
+	member.directory.Apply(member.index, start, data)
+}
+
+// TestRefusedBalancersGetNoTable: of many balancers that know one member from their settings
+// it gives its table to as many as it feeds, and the others find the next member.
+func TestRefusedBalancersGetNoTable(t *testing.T) {
+	const limit = 5
+	names := []model.NodeName{"a", "b", "c"}
+	var members []*member
+	for _, name := range names {
+		made := newMember(name)
+		made.publisher.options.Limit = limit
+		made.names = names
+		made.declareLarge(t, 1)
+		members = append(members, made)
+	}
+	var nodes []*node
+	for number := range 3 * limit {
+		nodes = append(nodes, newNode(model.NodeName(fmt.Sprint("n", number)), 16, "a"))
+	}
+	fabric := newFabric(members, nodes...)
+	fabric.run(time.Second)
+	for _, node := range nodes {
+		require.True(t, node.table.Serving())
+		require.True(t, node.table.Fresh(fabric.now))
+	}
+	for _, name := range names {
+		require.LessOrEqual(t, fabric.packed[name], limit)
+	}
+}
+
+// TestRefusalConfirmsNoOlderTable: a balancer whose table is old is not told that it is
+// current by a member that does not feed it.
+func TestRefusalConfirmsNoOlderTable(t *testing.T) {
+	only := newMember("a")
+	only.publisher.options.Limit = 0
+	only.declare(t, 1)
+	node := newNode("n1", 16, "a")
+	fabric := newFabric([]*member{only}, node)
+	fabric.run(100 * time.Millisecond)
+	require.Equal(t, uint64(1), node.table.Version(), "few changes go with a refusal")
+	only.declareLarge(t, 2)
+	fabric.run(2 * time.Second)
+	require.Equal(t, uint64(1), node.table.Version())
+	require.False(t, node.table.Fresh(fabric.now))
+}
+
+// TestLargeTablesArePackedOnce: a member whose table is large sends the same
+// packed bytes to all balancers that ask for it, and they take them in.
+func TestLargeTablesArePackedOnce(t *testing.T) {
+	only := newMember("a")
+	only.declareLarge(t, 1)
 	one, two := newNode("n1", 16, "a"), newNode("n2", 16, "a")
 	fabric := newFabric([]*member{only}, one, two)
 	fabric.run(300 * time.Millisecond)
--- a/internal/direct/feed/peers_test.go
+++ b/internal/direct/feed/peers_test.go
@@ -60,10 +60,12 @@
 	cut     map[[2]model.NodeName]bool
 	// reports has the reports that members got.
 	reports []HealthReport
+	// packed counts the packed tables that each member sent.
+	packed map[model.NodeName]int
 }
 
 func newFabric(members []*member, nodes ...*node) *fabric {
-	made := &fabric{now: start, members: members, nodes: nodes, cut: make(map[[2]model.NodeName]bool)}
+	made := &fabric{now: start, members: members, nodes: nodes, cut: make(map[[2]model.NodeName]bool), packed: make(map[model.NodeName]int)}
 	for _, node := range nodes {
 		node.fabric = made
 	}
@@ -108,6 +110,9 @@
 
 func (fabric *fabric) carry(from *protocol.Mailbox) {
 	for _, envelope := range from.Outbox.Drain() {
+		if update, isUpdate := envelope.Message.(Update); isUpdate && len(update.Packed) > 0 {
+			fabric.packed[envelope.From]++
+		}
 		if fabric.cut[[2]model.NodeName{envelope.From, envelope.To}] {
 			continue
 		}
--- a/internal/direct/feed/publisher.go
+++ b/internal/direct/feed/publisher.go
@@ -181,9 +181,7 @@
 		}
 	}
 	for _, name := range sortedNames(publisher.refused) {
-		update := batch.update(publisher.refused[name].sent)
-		update.Elsewhere = true
-		publisher.push(now, name, publisher.refused[name], update)
+		publisher.push(now, name, publisher.refused[name], batch.refusal(publisher.refused[name].sent))
 	}
 	clear(publisher.refused)
 }
@@ -255,6 +253,23 @@
 	return Update{Changes: changes.same, Packed: changes.packed, Fresh: batch.fresh, Age: batch.age, Depth: batch.depth, Members: batch.members}
 }
 
+// refusal returns the only answer to a balancer that is to follow another node. Few changes
+// go with it, a large table does not: after a mass start all balancers ask the few members
+// of their settings first, whose links would carry the whole table to each of them, so that
+// the time until all have one would grow with the balancers and with the targets. Without
+// it a balancer is at another member within milliseconds. What says nothing of the present
+// table must not confirm an older one.
+func (batch *batch) refusal(from model.Revision) Update {
+	update := batch.update(from)
+	update.Elsewhere = true
+	if len(update.Packed) > 0 {
+		update.Changes = directory.Changes{}
+		update.Packed = nil
+		update.Fresh = false
+	}
+	return update
+}
+
 func (publisher *Publisher) takeSubscriptions(now time.Time) {
 	for _, received := range protocol.Receive[Subscribe](publisher.subscriptions) {
 		asked := received.Message
