--- a/internal/direct/directory/apply.go
+++ b/internal/direct/directory/apply.go
@@ -95,10 +95,14 @@
 	}
 }
 
-// StartedBefore tells whether stated is of a later start of the target. A target that
-// says nothing of its start has none.
-func (target *Target) StartedBefore(stated Target) bool {
-	return target.Started != 0 && stated.Started > target.Started
+// startedBefore tells whether stated is of a later start of the target. A record without a
+// start is of a program that kept none, or of another writer: a call with one goes on from
+// it if its number does, and is of another start if not.
+func (target *Target) startedBefore(stated Target) bool {
+	if target.Started == 0 {
+		return stated.Started != 0 && stated.Sequence <= target.Sequence
+	}
+	return stated.Started > target.Started
 }
 
 // register adds an incarnation or moves its state forward. One that started later than
@@ -110,7 +114,7 @@
 	if !known {
 		return directory.admit(stated)
 	}
-	if target.StartedBefore(stated) {
+	if target.startedBefore(stated) {
 		directory.fail(target)
 		return directory.admit(stated)
 	}
--- a/internal/direct/directory/restart_test.go
+++ b/internal/direct/directory/restart_test.go
@@ -117,6 +117,18 @@
 	require.Greater(t, runner.register(startedAt(300, targetAt(1, 1, 1, TargetReady))).Token, latest)
 }
 
+// TestRecordOfAnotherWriterGivesWay: what another writer registered under a target's
+// identifier, without a start, does not keep the target out.
+func TestRecordOfAnotherWriterGivesWay(t *testing.T) {
+	runner := newRunner(t)
+	foreign := runner.register(targetAt(1, 9, 999999, TargetDraining))
+	latest := runner.register(startedAt(100, targetAt(1, 1, 1, TargetReady)))
+	require.NotEqual(t, foreign.Token, latest.Token)
+	held, _ := runner.directory.Target(1)
+	require.Equal(t, TargetReady, held.State)
+	require.Equal(t, uint64(1), held.Sequence)
+}
+
 // TestStartIsTakenOverFromARecordWithoutOne: the record may be of a program that kept no
 // starts, or of a target that said nothing of its own.
 func TestStartIsTakenOverFromARecordWithoutOne(t *testing.T) {
