--- a/internal/sim/mutant/direct.go
+++ b/internal/sim/mutant/direct.go
@@ -93,6 +93,19 @@
 				return decision
 			}),
 		},
+		{
+			Name:   "direct-former-starts-reset",
+			Breaks: "balancers reset the flows that carry the token of a target's former start",
+			Expect: []checker.Invariant{checker.InvariantFlowKept},
+			Story:  storyOf("direct-restarted-targets"),
+			Variant: directDecision(func(table *steer.Table, segment steer.Segment, now time.Time) steer.Decision {
+				decision := table.Decide(segment, now)
+				if decision.Reason == steer.ReasonRestarted {
+					decision.Action = steer.Reset
+				}
+				return decision
+			}),
+		},
 		{
 			Name:   "direct-drain-ignored",
 			Breaks: "balancers learn of draining targets as if they were ready",
