Say in the line of a refusal what its counts rest on

The line had the open requests and the expected time, and could not tell whose requests were counted, how old what others told was, or whether anything stood behind the trust in both. Change: the line has own and others' counts, the age of the latter, the shares of gaps and misses with the number of their cases, and how long the balancer has had a configuration.

--- a/internal/direct/balancernode/observer.go
+++ b/internal/direct/balancernode/observer.go
@@ -47,7 +47,7 @@
 	if entry == nil {
 		return
 	}
-	entry.Write(
+	fields := []zap.Field{
 		zap.Stringer("caller", segment.Caller),
 		zap.Stringer("route", segment.Service),
 		zap.Stringer("reason", decision.Reason),
@@ -63,7 +63,25 @@
 		zap.Uint64("revision", uint64(decision.Revision)),
 		zap.Uint64("version", decision.Version),
 		zap.String("confirmed_ago", ageText(decision.ConfirmedAgo)),
-	)
+	}
+	if decision.Reason == steer.ReasonOverloaded {
+		fields = append(fields, evidenceFields(decision.Evidence)...)
+	}
+	entry.Write(fields...)
+}
+
+// evidenceFields tell what the open requests of a target rest on that a flow was refused for.
+func evidenceFields(evidence steer.Evidence) []zap.Field {
+	return []zap.Field{
+		zap.Int("open_own", evidence.Own),
+		zap.Int("open_others", evidence.Others),
+		zap.String("others_heard_ago", ageText(evidence.HeardAgo)),
+		zap.Float64("gaps", evidence.Gaps.Share),
+		zap.Int("gaps_cases", evidence.Gaps.Cases),
+		zap.Float64("missed", evidence.Missed.Share),
+		zap.Int("missed_cases", evidence.Missed.Cases),
+		zap.Duration("serving_for", evidence.ServingFor),
+	}
 }
 
 // Malformed implements forwarder.Observer.
@@ -72,9 +90,9 @@
 	observer.logger.Info("packet malformed", zap.Error(err))
 }
 
-// ageText returns the age of a table in words.
+// ageText returns the age of a table, or of what others told, in words.
 func ageText(age time.Duration) string {
-	if age == steer.NeverConfirmed {
+	if age == steer.NeverConfirmed || age == steer.NeverHeard {
 		return "never"
 	}
 	return age.String()
--- a/internal/direct/load/book.go
+++ b/internal/direct/load/book.go
@@ -17,6 +17,7 @@
 
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/requests"
+	"merlinpaddle/internal/direct/steer"
 )
 
 // shardCount is the number of shards of a book; a power of two.
@@ -53,6 +54,9 @@
 	partial atomic.Bool
 	// services has the serving times of services.
 	services serviceTimes
+	// heardAt is when another node last told of open requests, in Unix nanoseconds; zero
+	// when none did.
+	heardAt atomic.Int64
 }
 
 var _ requests.Listener = (*Book)(nil)
@@ -199,6 +203,25 @@
 // Known implements steer.Loads.
 func (book *Book) Known() bool { return book.trust.holds() }
 
+// Evidence implements steer.Loads.
+func (book *Book) Evidence(token directory.Token, now time.Time) steer.Evidence {
+	evidence := steer.Evidence{HeardAgo: steer.NeverHeard}
+	if heardAt := book.heardAt.Load(); heardAt != 0 {
+		evidence.HeardAgo = time.Duration(now.UnixNano() - heardAt)
+	}
+	evidence.Gaps, evidence.Missed = book.trust.proportions()
+	shard := book.shard(token)
+	shard.lock.RLock()
+	defer shard.lock.RUnlock()
+	if known := shard.counts[token]; known != nil {
+		evidence.Own, evidence.Others = known.own, known.others
+	}
+	return evidence
+}
+
+// heard notes that another node told of open requests.
+func (book *Book) heard(now time.Time) { book.heardAt.Store(now.UnixNano()) }
+
 // Totals returns the open requests of all targets: this balancer's own, and those
 // that other balancers told.
 func (book *Book) Totals() (own, others int) {
--- a/internal/direct/load/exchange.go
+++ b/internal/direct/load/exchange.go
@@ -190,6 +190,7 @@
 	default:
 		return
 	}
+	exchange.book.heard(now)
 	if report.Wanted {
 		exchange.demand.heardAt = now
 	}
--- a/internal/direct/load/trust.go
+++ b/internal/direct/load/trust.go
@@ -1,6 +1,9 @@
 package load
 
-import "merlinpaddle/internal/direct/requests"
+import (
+	"merlinpaddle/internal/direct/requests"
+	"merlinpaddle/internal/direct/steer"
+)
 
 // missedMost is the largest share of unanswered requests with which counts are
 // used.
@@ -17,3 +20,11 @@
 
 // holds tells whether counts are to be used.
 func (trust *trust) holds() bool { return trust.missed.Value() <= missedMost && trust.flows.Whole() }
+
+// proportions returns what the trust rests on: the share of data behind a gap, and that of
+// requests whose answer was not seen.
+func (trust *trust) proportions() (gaps, missed steer.Proportion) {
+	gaps.Share, gaps.Cases = trust.flows.Gaps()
+	missed = steer.Proportion{Share: trust.missed.Value(), Cases: trust.missed.Cases()}
+	return gaps, missed
+}
--- a/internal/direct/requests/share.go
+++ b/internal/direct/requests/share.go
@@ -14,6 +14,7 @@
 
 	lock  sync.Mutex
 	value float64
+	cases int
 }
 
 // Note takes in one more case.
@@ -24,6 +25,7 @@
 	if weight == 0 {
 		weight = usualWeight
 	}
+	share.cases++
 	share.value *= 1 - weight
 	if holds {
 		share.value += weight
@@ -36,3 +38,10 @@
 	defer share.lock.Unlock()
 	return share.value
 }
+
+// Cases returns how many cases were taken in since the start.
+func (share *Share) Cases() int {
+	share.lock.Lock()
+	defer share.lock.Unlock()
+	return share.cases
+}
--- a/internal/direct/steer/admission_test.go
+++ b/internal/direct/steer/admission_test.go
@@ -21,6 +21,11 @@
 // Known implements Loads.
 func (busy *busy) Known() bool { return true }
 
+// Evidence implements Loads.
+func (busy *busy) Evidence(directory.Token, time.Time) Evidence {
+	return Evidence{HeardAgo: NeverHeard}
+}
+
 // Load implements Loads.
 func (busy *busy) Load(directory.Token) (int, time.Duration) { return busy.open, busy.serving }
 
--- a/internal/direct/steer/choices_test.go
+++ b/internal/direct/steer/choices_test.go
@@ -15,6 +15,11 @@
 // Known implements Loads.
 func (loads loads) Known() bool { return true }
 
+// Evidence implements Loads.
+func (loads loads) Evidence(directory.Token, time.Time) Evidence {
+	return Evidence{HeardAgo: NeverHeard}
+}
+
 // Load implements Loads.
 func (loads loads) Load(token directory.Token) (int, time.Duration) { return loads[token], 0 }
 
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -122,6 +122,7 @@
 		return Decision{
 			Action: Reset, Reason: ReasonOverloaded,
 			ID: candidate.target.ID, Open: candidate.open, Expected: candidate.expected,
+			Evidence: table.evidence(candidate.target, now),
 		}
 	}
 	return table.openAt(candidate, route, now)
--- a/internal/direct/steer/locality_test.go
+++ b/internal/direct/steer/locality_test.go
@@ -136,6 +136,11 @@
 // Known implements Loads.
 func (delayed *delayed) Known() bool { return true }
 
+// Evidence implements Loads.
+func (delayed *delayed) Evidence(directory.Token, time.Time) Evidence {
+	return Evidence{HeardAgo: NeverHeard}
+}
+
 // Load implements Loads.
 func (delayed *delayed) Load(token directory.Token) (int, time.Duration) {
 	return delayed.shared[token] + delayed.own[token], 0
--- a/internal/direct/steer/options.go
+++ b/internal/direct/steer/options.go
@@ -55,6 +55,8 @@
 	// Typical returns how long a request takes at an idle target of the service;
 	// zero when that is not known.
 	Typical(service string) time.Duration
+	// Evidence returns what the open requests of the target rest on, but for ServingFor.
+	Evidence(token directory.Token, now time.Time) Evidence
 }
 
 // DefaultOptions returns the bounds of processes.
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -193,6 +193,8 @@
 	// with ReasonChosen and ReasonOverloaded. ID is set with both.
 	Open     int
 	Expected time.Duration
+	// Evidence is what Open rests on; set with ReasonOverloaded.
+	Evidence Evidence
 	// Objective is the objective of the flow's route, zero for none; set with
 	// ReasonChosen.
 	Objective time.Duration
--- a/internal/sim/kernel/trace.go
+++ b/internal/sim/kernel/trace.go
@@ -58,6 +58,14 @@
 	trace.Add(source, kind, fmt.Sprintf(format, arguments...))
 }
 
+// Tell shows an event to the observer alone. It serves steps that are frequent under load,
+// which would push all others out of a report.
+func (trace *Trace) Tell(source, kind string, detail func() string) {
+	if trace.observer != nil {
+		trace.observer(Event{At: trace.scheduler.Elapsed(), Source: source, Kind: kind, Detail: detail()})
+	}
+}
+
 // Mix adds numbers to the digest without keeping an event; it serves the
 // frequent steps, such as packets.
 func (trace *Trace) Mix(numbers ...uint64) {
