Let a refused upload of the simulation be tried once, as real callers do

Cause, from a trace of the tries: the simulated caller failed a flow twice, when the reset came and when the wait for its opening was over, and began a further try each time. Protocol: "or an RST arrives, the client attempt ends". Calls were guarded against it, uploads were not. Change: a flow fails once. The trace names each refusal of an opening packet with its reason.

--- a/internal/sim/directworld/checks.go
+++ b/internal/sim/directworld/checks.go
@@ -140,7 +140,7 @@
 	if decision.Action == steer.Reset && decision.Reason == steer.ReasonNoRoute {
 		checks.violate(checker.InvariantInForce, "%s refused a packet to %s, which every version has", balancer.process.Name, packet.flow.service)
 	}
-	if decision.Reason == steer.ReasonOverloaded {
+	if packet.opening && decision.Action == steer.Reset {
 		world.run.Trace.Tell(string(balancer.process.Name), "refuses", func() string { return refusalText(packet, decision) })
 	}
 	if !world.calm() || !packet.opening || world.Now().Sub(balancer.startedAt) < settleTime {
@@ -157,11 +157,14 @@
 	}
 }
 
-// refusalText tells why a balancer refused a new flow for the load of its targets.
+// refusalText tells why a balancer refused a new flow.
 func refusalText(packet packet, decision steer.Decision) string {
+	if decision.Reason != steer.ReasonOverloaded {
+		return fmt.Sprintf("%s to %s: %s, expected %s", packet.flow.caller, packet.flow.service, decision.Reason, decision.Expected)
+	}
 	evidence := decision.Evidence
-	return fmt.Sprintf("%s to %s at target %d: open %d (own %d, others %d, heard %s ago), expected %s, gaps %.2f of %d, missed %.2f of %d, serving for %s",
-		packet.flow.caller, packet.flow.service, decision.ID, decision.Open, evidence.Own, evidence.Others, evidence.HeardAgo, decision.Expected,
+	return fmt.Sprintf("%s to %s: %s at target %d: open %d (own %d, others %d, heard %s ago), expected %s, gaps %.2f of %d, missed %.2f of %d, serving for %s",
+		packet.flow.caller, packet.flow.service, decision.Reason, decision.ID, decision.Open, evidence.Own, evidence.Others, evidence.HeardAgo, decision.Expected,
 		evidence.Gaps.Share, evidence.Gaps.Cases, evidence.Missed.Share, evidence.Missed.Cases, evidence.ServingFor)
 }
 
--- a/internal/sim/directworld/uploads.go
+++ b/internal/sim/directworld/uploads.go
@@ -35,6 +35,8 @@
 	counted bool
 	tries   int
 	done    bool
+	// latest is the latest try: there is one at a time.
+	latest *uploadFlow
 }
 
 // uploadFlow is an upload on the flow of one try.
@@ -57,6 +59,7 @@
 		upload: upload, flow: opened, next: 1,
 		acknowledged: make(map[int]bool), received: make(map[int]bool),
 	}
+	upload.latest = opened.transfer
 	opened.begin()
 	upload.world.after(openTimeout, func() {
 		if opened.target == nil {
@@ -66,9 +69,13 @@
 }
 
 // failed takes in that the flow ended before the upload was answered. One whose
-// flow had opened may have run, and is not tried again.
+// flow had opened may have run, and is not tried again. A flow that was reset fails
+// once: that it does not open in time either says nothing new.
 func (transfer *uploadFlow) failed() {
 	upload := transfer.upload
+	if upload.latest != transfer {
+		return
+	}
 	opened := transfer.flow.target != nil
 	transfer.flow.end()
 	if upload.done {
