--- a/internal/sim/scenario/regression_test.go
+++ b/internal/sim/scenario/regression_test.go
@@ -26,6 +26,15 @@
 			"nobody now before enough requests were seen to be answered.",
 		seeds: []uint64{8, 38, 93, 207, 360, 394},
 	},
+	{
+		scenario: "direct-narrow-links",
+		story: "Uploads took 1.21 to 1.54 tries for an answer, 1.2 allowed. The simulated caller tried again twice for one " +
+			"refusal: when the reset came, and when the wait for the opening was over (a trace of seed 5: 33 refusals, 66 " +
+			"failed tries). Beside it balancers refused calls at targets at a quarter of their load, because flows counted " +
+			"there while their packets waited in the balancer's own link: the lines had 3 to 11 open requests and 63 ms as " +
+			"the serving time of targets that take 42 ms.",
+		seeds: []uint64{5, 46, 74, 144, 171, 331, 650},
+	},
 }
 
 func TestSeedsThatFailedOnce(t *testing.T) {
