Tell packets that are lost from those under way in the check of silent flows

Cause, from the trace of the flow: two packets were lost by the simulated network; three were sent within 10 ms and were under way, and their target took each within 11 ms. The check counted them from the moment they were sent. Ruled out: the product (each packet that the network did not lose reached the flow's target). Change: under planned changes a packet counts as lost after 100 ms; the way there and back takes some 25 ms at most. The bound of four and the check at the end stay. The row of the test that sent five packets at one moment and looked at that moment sends a sixth 100 ms later; two rows are new, one for each side.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -126,8 +126,30 @@
 			for range maximumUnanswered + 1 {
 				flows.Sent(1, ownService, 0)
 			}
+			flows.Sent(1, ownService, wayAndBack)
+			flows.Answered(1)
+			flows.CheckSilent(wayAndBack)
+		}, InvariantFlowKept},
+		// drain-lagging-reports seed 226: two packets of a flow were lost, half a percent of
+		// them are on each hop, and three were sent within 10 ms. The check took these for lost
+		// as well while they were under way: the trace has each of them at its target within
+		// 11 ms. Four may be lost.
+		{"packets under way under planned changes", func(flows *Flows) {
+			flows.ExpectSteady()
+			flows.Delivered(deliver(1, ownService, placeOne))
+			for _, at := range []time.Duration{32349, 32606, 33163, 33171, 33174} {
+				flows.Sent(1, ownService, at*time.Millisecond)
+			}
+			flows.Answered(1)
+			flows.CheckSilent(33200 * time.Millisecond)
+		}, ""},
+		{"five lost and one under way under planned changes", func(flows *Flows) {
+			flows.ExpectSteady()
+			flows.Delivered(deliver(1, ownService, placeOne))
+			for number := range maximumUnanswered + 2 {
+				flows.Sent(1, ownService, time.Duration(number)*250*time.Millisecond)
+			}
 			flows.Answered(1)
-			flows.CheckSilent(0)
 		}, InvariantFlowKept},
 		{"silent for a while under faults", func(flows *Flows) {
 			flows.Delivered(deliver(1, ownService, placeOne))
--- a/internal/checker/flow.go
+++ b/internal/checker/flow.go
@@ -38,12 +38,17 @@
 // lose on a network without cuts before it counts as broken.
 const maximumUnanswered = 4
 
+// wayAndBack is how long a packet and its answer may take on a network without cuts. What was
+// sent later than that is under way, and not lost.
+const wayAndBack = 100 * time.Millisecond
+
 type flowRecord struct {
-	id         FlowID
-	service    uint32
-	owner      Place
-	owned      bool
-	unanswered int
+	id      FlowID
+	service uint32
+	owner   Place
+	owned   bool
+	// unanswered has the times at which the packets since the last answer were sent.
+	unanswered []time.Duration
 	closed     bool
 	broken     bool
 }
@@ -83,10 +88,10 @@
 func (flows *Flows) Sent(id FlowID, service uint32, at time.Duration) {
 	record := flows.record(id)
 	record.service = service
-	record.unanswered++
-	if flows.steady {
-		flows.checkSilent(record, at)
+	if flows.steady && record.live() && record.lost(at) > maximumUnanswered {
+		flows.breakSilent(record, at)
 	}
+	record.unanswered = append(record.unanswered, at)
 }
 
 // Delivered records that a target took a packet.
@@ -126,7 +131,7 @@
 }
 
 // Answered records that an answer came back to the caller.
-func (flows *Flows) Answered(id FlowID) { flows.record(id).unanswered = 0 }
+func (flows *Flows) Answered(id FlowID) { flows.record(id).unanswered = nil }
 
 // Reset records that the caller was told that its flow is gone.
 func (flows *Flows) Reset(id FlowID, at time.Duration) {
@@ -154,7 +159,7 @@
 // itself cut the caller's path.
 func (flows *Flows) NetworkHealed() {
 	for _, record := range flows.flows {
-		record.unanswered = 0
+		record.unanswered = nil
 	}
 }
 
@@ -173,15 +178,33 @@
 
 func (flows *Flows) checkSilent(record *flowRecord, at time.Duration) {
 	if record.silent() {
-		flows.breakFlow(record, at, fmt.Sprintf("%d packets without answer", record.unanswered))
+		flows.breakSilent(record, at)
 	}
 }
 
+func (flows *Flows) breakSilent(record *flowRecord, at time.Duration) {
+	flows.breakFlow(record, at, fmt.Sprintf("%d packets without answer", len(record.unanswered)))
+}
+
+// lost returns how many packets in a row can get no answer any more.
+func (record *flowRecord) lost(at time.Duration) int {
+	lost := 0
+	for _, sentAt := range record.unanswered {
+		if at-sentAt >= wayAndBack {
+			lost++
+		}
+	}
+	return lost
+}
+
 // silent tells whether the packets of a flow that is still open vanish.
 func (record *flowRecord) silent() bool {
-	return record.owned && !record.closed && !record.broken && record.unanswered > maximumUnanswered
+	return record.live() && len(record.unanswered) > maximumUnanswered
 }
 
+// live tells whether a target has the flow, and nothing ended it.
+func (record *flowRecord) live() bool { return record.owned && !record.closed && !record.broken }
+
 func (flows *Flows) breakFlow(record *flowRecord, at time.Duration, cause string) {
 	if record.broken || record.closed {
 		return
--- a/internal/sim/scenario/regression_test.go
+++ b/internal/sim/scenario/regression_test.go
@@ -35,6 +35,12 @@
 			"the serving time of targets that take 42 ms.",
 		seeds: []uint64{5, 46, 74, 144, 171, 331, 650},
 	},
+	{
+		scenario: "drain-lagging-reports",
+		story: "A flow counted as broken with five packets without answer, of which four may be lost. Two were lost; three " +
+			"had been sent within 10 ms and were under way, as the trace of the flow shows. The check tells them apart now.",
+		seeds: []uint64{226},
+	},
 }
 
 func TestSeedsThatFailedOnce(t *testing.T) {
