--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -192,10 +192,10 @@
 	switch decision.Action {
 	case steer.Forward:
 		waits := forwarder.note(segment, decision, now)
-		forwarder.send(segment, forwarder.codec.Deliver(buffer, decision), decision.Target, true, waits, now)
+		forwarder.forward(segment, forwarder.codec.Deliver(buffer, decision), decision.Target, waits, now)
 	case steer.Reset:
 		reset, to := forwarder.codec.Reset(buffer[headroom:], segment)
-		forwarder.send(segment, reset, to, false, false, now)
+		forwarder.answer(segment, reset, to, now)
 	}
 }
 
@@ -219,10 +219,7 @@
 
 // left tells the requests that a datagram left which had to wait for the link.
 func (forwarder *Forwarder) left(datagram *egress.Datagram, now time.Time) {
-	forwarder.requests.Left(steer.Segment{
-		Caller: datagram.Flow.Caller, Service: datagram.Flow.Service,
-		Opening: datagram.Opening, HasData: datagram.HasData, Sequence: datagram.Sequence,
-	}, now)
+	forwarder.requests.Left(SegmentOf(datagram), now)
 }
 
 // release decides anew about parked packets after the table changed. A copy of
@@ -251,23 +248,38 @@
 	}
 }
 
-// send hands one datagram of the segment's flow to the link: the segment itself, if it is
-// one that the balancer forwards, or a reset. reported tells that the requests are to be told
-// when it leaves.
-func (forwarder *Forwarder) send(segment steer.Segment, content []byte, to netip.AddrPort, forwards, reported bool, now time.Time) {
-	forwarder.egress.Send(egress.Datagram{
+// forward hands the segment's packet to the link on its way to a target. reported tells that
+// the requests are to be told when it leaves.
+func (forwarder *Forwarder) forward(segment steer.Segment, content []byte, to netip.AddrPort, reported bool, now time.Time) {
+	datagram := datagramOf(segment, content, to)
+	datagram.Opening = segment.Opening
+	datagram.Acknowledges = segment.Acknowledges()
+	datagram.Acknowledgement = segment.Acknowledgement
+	datagram.Reported = reported
+	forwarder.egress.Send(datagram, now)
+}
+
+// answer hands a packet to the link that answers the segment in its target's place.
+func (forwarder *Forwarder) answer(segment steer.Segment, content []byte, to netip.AddrPort, now time.Time) {
+	forwarder.egress.Send(datagramOf(segment, content, to), now)
+}
+
+func datagramOf(segment steer.Segment, content []byte, to netip.AddrPort) egress.Datagram {
+	return egress.Datagram{
 		Flow:     egress.Flow{Caller: segment.Caller, Service: segment.Service},
 		To:       to,
 		Sequence: segment.Sequence,
 		HasData:  segment.HasData,
-		Opening:  segment.Opening && forwards,
-
-		Acknowledges:    segment.Acknowledges() && forwards,
-		Acknowledgement: segment.Acknowledgement,
-
 		Content:  content,
-		Reported: reported,
-	}, now)
+	}
+}
+
+// SegmentOf returns what is known of the packet in a datagram that was forwarded.
+func SegmentOf(datagram *egress.Datagram) steer.Segment {
+	return steer.Segment{
+		Caller: datagram.Flow.Caller, Service: datagram.Flow.Service,
+		Opening: datagram.Opening, HasData: datagram.HasData, Sequence: datagram.Sequence,
+	}
 }
 
 // write writes one datagram. A lost one is sent again by its sender.
--- a/internal/sim/directworld/links.go
+++ b/internal/sim/directworld/links.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"merlinpaddle/internal/direct/egress"
+	"merlinpaddle/internal/direct/forwarder"
 	"merlinpaddle/internal/direct/steer"
 )
 
@@ -41,10 +42,7 @@
 	created := &link{world: world, bytesPerSecond: world.options.LinkRate, leaving: make(map[uint64]func())}
 	created.egress = egress.New(egress.Link{BytesPerSecond: world.options.LinkShare * world.options.LinkRate, DatagramOverhead: datagramOverhead}, created.write)
 	created.egress.Report(func(datagram *egress.Datagram, _ time.Time) {
-		balancer.watcher.Left(steer.Segment{
-			Caller: datagram.Flow.Caller, Service: datagram.Flow.Service,
-			Opening: datagram.Opening, HasData: datagram.HasData, Sequence: datagram.Sequence,
-		}, balancer.process.LocalNow())
+		balancer.watcher.Left(forwarder.SegmentOf(datagram), balancer.process.LocalNow())
 	})
 	return created
 }
