Let a packet that is sent again not take its request back from the target

Callers saw: nothing yet; found while the diff was read. A request that had left the balancer counted as waiting again when its caller repeated the packet and the repetition waited in front of the link. The target had the first copy: it seemed less busy than it was, and one that hangs was noticed up to two seconds later, because the time since the request left began anew with each repetition. Change: a packet that is placed or noted without anything new does not wait. Figures: TestWhatIsSentAgainDoesNotTakeARequestBack fails without the change.

--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -60,9 +60,9 @@
 	Tried(segment steer.Segment) (tried [steer.TriesKnown]directory.Token, seen bool)
 	// Note takes in a packet that was sent on to the target of its flow.
 	Note(segment steer.Segment, target requests.Target, now time.Time)
-	// Waits takes in that the packet which was just placed or noted waits in front of the
-	// link, and Left that it left.
-	Waits(segment steer.Segment)
+	// Waits takes in that the packet which was placed or noted at now waits in front of
+	// the link, and Left that it left.
+	Waits(segment steer.Segment, now time.Time)
 	Left(segment steer.Segment, now time.Time)
 }
 
@@ -213,7 +213,7 @@
 	if !matters || !forwarder.egress.Waits(now) {
 		return false
 	}
-	forwarder.requests.Waits(segment)
+	forwarder.requests.Waits(segment, now)
 	return true
 }
 
--- a/internal/direct/forwarder/forwarder_test.go
+++ b/internal/direct/forwarder/forwarder_test.go
@@ -128,7 +128,7 @@
 }
 
 // Waits implements Requests.
-func (counter *counter) Waits(steer.Segment) {
+func (counter *counter) Waits(steer.Segment, time.Time) {
 	counter.lock.Lock()
 	defer counter.lock.Unlock()
 	counter.waits++
--- a/internal/direct/requests/waiting.go
+++ b/internal/direct/requests/waiting.go
@@ -49,14 +49,15 @@
 	}
 }
 
-// Waits takes in that the packet which was just placed or noted waits in front of the
+// Waits takes in that the packet which was placed or noted at now waits in front of the
 // balancer's link. Left is called for the packet, or for a later copy of it, unless it is lost.
-func (watcher *Watcher) Waits(segment steer.Segment) {
+// A packet that is sent again changes nothing: its target may have the first copy.
+func (watcher *Watcher) Waits(segment steer.Segment, now time.Time) {
 	key := keyOf(segment)
 	shard := watcher.shard(key)
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
-	if open, known := shard.requests[key]; known && open.hangsOn(segment) {
+	if open, known := shard.requests[key]; known && open.since.Equal(now) && open.hangsOn(segment) {
 		watcher.setWaiting(shard, key, open, true)
 	}
 }
--- a/internal/direct/requests/waiting_test.go
+++ b/internal/direct/requests/waiting_test.go
@@ -24,7 +24,7 @@
 	listener := newBook()
 	watcher := NewWatcher(listener)
 	watcher.Placed(opens(1), targetOf(7), start)
-	watcher.Waits(opens(1))
+	watcher.Waits(opens(1), start)
 	require.Equal(t, 0, listener.open[7])
 	require.Equal(t, 1, listener.waiting[7])
 	watcher.Left(opens(1), start.Add(80*time.Millisecond))
@@ -34,7 +34,7 @@
 
 	request := asks(1, 1, 1).segment
 	watcher.Note(request, targetOf(7), start.Add(100*time.Millisecond))
-	watcher.Waits(request)
+	watcher.Waits(request, start.Add(100*time.Millisecond))
 	require.Equal(t, 0, listener.open[7])
 	require.Equal(t, 1, listener.waiting[7])
 	watcher.Left(opens(1), start.Add(110*time.Millisecond))
@@ -54,23 +54,23 @@
 	}{
 		{"a copy of the opening packet goes elsewhere", func(watcher *Watcher) {
 			watcher.Placed(opens(1), targetOf(7), start)
-			watcher.Waits(opens(1))
+			watcher.Waits(opens(1), start)
 			watcher.Placed(opens(1), targetOf(8), start.Add(200*time.Millisecond))
 			watcher.Note(closes(1, 1, 1).segment, targetOf(8), start.Add(250*time.Millisecond))
 		}},
 		{"the opening packet is lost", func(watcher *Watcher) {
 			watcher.Placed(opens(1), targetOf(7), start)
-			watcher.Waits(opens(1))
+			watcher.Waits(opens(1), start)
 			watcher.Reconcile(start.Add(placedFor))
 		}},
 		{"the request is lost", func(watcher *Watcher) {
 			watcher.Note(asks(1, 1, 1).segment, targetOf(7), start)
-			watcher.Waits(asks(1, 1, 1).segment)
+			watcher.Waits(asks(1, 1, 1).segment, start)
 			watcher.Reconcile(start.Add(HangAfter))
 		}},
 		{"the caller gives up", func(watcher *Watcher) {
 			watcher.Note(asks(1, 1, 1).segment, targetOf(7), start)
-			watcher.Waits(asks(1, 1, 1).segment)
+			watcher.Waits(asks(1, 1, 1).segment, start)
 			watcher.Note(closes(1, 100, 1).segment, targetOf(7), start.Add(time.Millisecond))
 		}},
 	}
@@ -86,6 +86,32 @@
 	}
 }
 
+// TestWhatIsSentAgainDoesNotTakeARequestBack: the target has the first copy, whether a further
+// one waits or not, and a target that hangs does so since it got that one.
+func TestWhatIsSentAgainDoesNotTakeARequestBack(t *testing.T) {
+	listener := newBook()
+	watcher := NewWatcher(listener)
+	watcher.Placed(opens(1), targetOf(7), start)
+	again := start.Add(200 * time.Millisecond)
+	watcher.Placed(opens(1), targetOf(7), again)
+	watcher.Waits(opens(1), again)
+	require.Equal(t, 1, listener.open[7])
+
+	asked := start.Add(300 * time.Millisecond)
+	watcher.Note(asks(1, 1, 1).segment, targetOf(7), asked)
+	for _, later := range []time.Duration{200 * time.Millisecond, 600 * time.Millisecond} {
+		again = asked.Add(later)
+		watcher.Note(asks(1, 1, 1).segment, targetOf(7), again)
+		watcher.Waits(asks(1, 1, 1).segment, again)
+		require.Equal(t, 1, listener.open[7])
+		require.Zero(t, listener.waiting[7])
+		watcher.Left(asks(1, 1, 1).segment, again.Add(50*time.Millisecond))
+	}
+	watcher.Reconcile(asked.Add(HangAfter))
+	require.Equal(t, 1, listener.unanswered[7])
+	require.Zero(t, listener.open[7])
+}
+
 // TestLongRequestsDoNotWaitTwice: a request whose data still comes takes no place, whether its
 // latest packet waits or not; once all came, it waits until the last packet left.
 func TestLongRequestsDoNotWaitTwice(t *testing.T) {
@@ -95,7 +121,7 @@
 	send := func(sequence, length uint32) {
 		now = now.Add(time.Millisecond)
 		watcher.Note(data(1, sequence, length).segment, targetOf(7), now)
-		watcher.Waits(data(1, sequence, length).segment)
+		watcher.Waits(data(1, sequence, length).segment, now)
 	}
 	for number := range uint32(LongFrom/full + 2) {
 		send(1+number*full, full)
@@ -127,13 +153,13 @@
 			case 0:
 				watcher.Placed(opens(port), target, now)
 			case 1:
-				watcher.Waits(opens(port))
+				watcher.Waits(opens(port), now)
 			case 2:
 				watcher.Left(opens(port), now)
 			case 3:
 				watcher.Note(piece, target, now)
 			case 4:
-				watcher.Waits(piece)
+				watcher.Waits(piece, now)
 			case 5:
 				watcher.Left(piece, now)
 			case 6:
--- a/internal/sim/directworld/links.go
+++ b/internal/sim/directworld/links.go
@@ -116,7 +116,7 @@
 	segment := packet.segment()
 	waits := (segment.Opening || segment.HasData) && balancer.link.egress.Waits(balancer.world.Now())
 	if waits {
-		balancer.watcher.Waits(segment)
+		balancer.watcher.Waits(segment, balancer.process.LocalNow())
 	}
 	balancer.link.leave(packet, decision.Target, waits, func() { balancer.world.deliver(balancer, packet, decision) })
 }
