Let the queue in front of the link tell what waits, in one place

Each packet took the queue's lock once more to ask whether it would wait, the forwarder told the requests so before it sent, and the simulation wrote the same steps again for its links. The queue knows itself: it tells a follower when a datagram begins to wait and when it leaves. The forwarder's follower serves the simulation too. The checks stay: what waits, what leaves, with its time, what is written at once, what a repetition takes over, and what finds the queue full; both tests fail when nothing is told of waiting.

--- a/internal/direct/egress/egress.go
+++ b/internal/direct/egress/egress.go
@@ -46,8 +46,8 @@
 
 	// observe is told how long each datagram waited that did.
 	observe func(waited time.Duration)
-	// report is told when a datagram was written that is to be reported.
-	report func(datagram *Datagram, now time.Time)
+	// follower is told of datagrams that are to be followed.
+	follower Follower
 
 	sent, waited, repeated, refused atomic.Uint64
 }
@@ -60,8 +60,8 @@
 		queue:  newFairQueue(queueLimit),
 		pacer:  pacer{link: link},
 
-		observe: func(time.Duration) {},
-		report:  func(*Datagram, time.Time) {},
+		observe:  func(time.Duration) {},
+		follower: noFollower{},
 	}
 }
 
@@ -69,9 +69,26 @@
 // did. It is set before the first Send and must return at once.
 func (egress *Egress) Observe(observe func(waited time.Duration)) { egress.observe = observe }
 
-// Report makes report be told of each datagram with Reported when it is written. It is set
-// before the first Send, must return at once and keep nothing of the datagram.
-func (egress *Egress) Report(report func(datagram *Datagram, now time.Time)) { egress.report = report }
+// Follower is told of datagrams with Followed that are not written at once. Its methods must
+// return at once, keep nothing of the datagram and call nothing of the egress.
+type Follower interface {
+	// Waits is told that the datagram was sent at now and has to wait. It may be lost.
+	Waits(datagram *Datagram, now time.Time)
+	// Left is told that a datagram that had to wait was written at now.
+	Left(datagram *Datagram, now time.Time)
+}
+
+// noFollower is the follower of an egress without one.
+type noFollower struct{}
+
+// Waits implements Follower.
+func (noFollower) Waits(*Datagram, time.Time) {}
+
+// Left implements Follower.
+func (noFollower) Left(*Datagram, time.Time) {}
+
+// Follow makes follower be told of datagrams. It is set before the first Send.
+func (egress *Egress) Follow(follower Follower) { egress.follower = follower }
 
 // Counts returns the counts since the start.
 func (egress *Egress) Counts() Counts {
@@ -90,13 +107,6 @@
 	return egress.queue.empty()
 }
 
-// Waits tells whether a datagram that is sent at now would wait for the link.
-func (egress *Egress) Waits(now time.Time) bool {
-	egress.lock.Lock()
-	defer egress.lock.Unlock()
-	return !egress.queue.empty() || egress.pacer.wait(now) > 0
-}
-
 // ShortWait returns how long the link takes for the content of short flows that waits; zero
 // on a link without a bound.
 func (egress *Egress) ShortWait() time.Duration {
@@ -121,6 +131,9 @@
 	kept := datagram
 	kept.since = now
 	kept.Content = append([]byte(nil), datagram.Content...)
+	if kept.Followed {
+		egress.follower.Waits(&kept, now)
+	}
 	switch egress.queue.put(&kept) {
 	case repeated:
 		egress.repeated.Add(1)
@@ -143,9 +156,6 @@
 	egress.pacer.sent(now, len(datagram.Content))
 	egress.sent.Add(1)
 	egress.write(datagram.Content, datagram.To)
-	if datagram.Reported {
-		egress.report(datagram, now)
-	}
 }
 
 // Flush writes what the link has room for at now. It returns how long the next
@@ -160,6 +170,9 @@
 		next := egress.queue.take(now)
 		egress.observe(now.Sub(next.since))
 		egress.transmit(next, now)
+		if next.Followed {
+			egress.follower.Left(next, now)
+		}
 	}
 	return 0
 }
--- a/internal/direct/egress/queue.go
+++ b/internal/direct/egress/queue.go
@@ -30,9 +30,9 @@
 	Acknowledges    bool
 	Acknowledgement uint32
 	Content         []byte
-	// Reported makes the egress tell when the datagram, or a repetition that took its place,
-	// is written.
-	Reported bool
+	// Followed makes the egress tell its follower when the datagram begins to wait, and when
+	// it, or a repetition that took its place, is written after that.
+	Followed bool
 	// since is when the datagram began to wait.
 	since time.Time
 }
@@ -163,7 +163,7 @@
 		if known.repeats(added) {
 			queue.count(waiting, len(added.Content)-len(known.Content))
 			added.since = known.since
-			added.Reported = added.Reported || known.Reported
+			added.Followed = added.Followed || known.Followed
 			waiting.datagrams[index] = added
 			return true
 		}
--- /dev/null
+++ b/internal/direct/forwarder/following.go
@@ -0,0 +1,38 @@
+package forwarder
+
+import (
+	"time"
+
+	"merlinpaddle/internal/direct/egress"
+	"merlinpaddle/internal/direct/steer"
+)
+
+// Followed tells whether a target goes on with a request once it has the packet, so that the
+// requests have to know when it leaves.
+func Followed(segment steer.Segment) bool { return segment.Opening || segment.HasData }
+
+// Follow returns what tells the requests of packets that wait in front of the link.
+func Follow(requests Requests) egress.Follower { return following{requests} }
+
+// following passes on what becomes of datagrams to the requests that they belong to.
+type following struct {
+	requests Requests
+}
+
+// Waits implements egress.Follower.
+func (following following) Waits(datagram *egress.Datagram, now time.Time) {
+	following.requests.Waits(segmentOf(datagram), now)
+}
+
+// Left implements egress.Follower.
+func (following following) Left(datagram *egress.Datagram, now time.Time) {
+	following.requests.Left(segmentOf(datagram), now)
+}
+
+// segmentOf returns what is known of the packet in a datagram that was forwarded.
+func segmentOf(datagram *egress.Datagram) steer.Segment {
+	return steer.Segment{
+		Caller: datagram.Flow.Caller, Service: datagram.Flow.Service,
+		Opening: datagram.Opening, HasData: datagram.HasData, Sequence: datagram.Sequence,
+	}
+}
--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -115,7 +115,7 @@
 	options.Failures.Note(socketfault.Buffer, socket.SetWriteBuffer(socketBufferBytes))
 	forwarder := &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, requests: requests, admission: admission, observer: observer, parking: newParking(), changes: table.Watch(), failures: options.Failures}
 	forwarder.egress = egress.New(options.Link, forwarder.write)
-	forwarder.egress.Report(forwarder.left)
+	forwarder.egress.Follow(Follow(requests))
 	return forwarder, nil
 }
 
@@ -191,35 +191,23 @@
 	}
 	switch decision.Action {
 	case steer.Forward:
-		waits := forwarder.note(segment, decision, now)
-		forwarder.forward(segment, forwarder.codec.Deliver(buffer, decision), decision.Target, waits, now)
+		forwarder.note(segment, decision, now)
+		forwarder.forward(segment, forwarder.codec.Deliver(buffer, decision), decision.Target, now)
 	case steer.Reset:
 		reset, to := forwarder.codec.Reset(buffer[headroom:], segment)
 		forwarder.answer(segment, reset, to, now)
 	}
 }
 
-// note tells of a packet that goes to a target, and returns whether the requests are to be
-// told when it leaves, because it waits for the link. They are told that it waits before it is
-// sent, so that it cannot leave before.
-func (forwarder *Forwarder) note(segment steer.Segment, decision steer.Decision, now time.Time) (waits bool) {
+// note tells of a packet that goes to a target. It is told before the packet is sent, because
+// the requests are told next if it has to wait for the link.
+func (forwarder *Forwarder) note(segment steer.Segment, decision steer.Decision, now time.Time) {
 	target := requests.Target{Token: decision.Token, ID: decision.ID, Service: decision.Service, Capacity: decision.Capacity}
 	if segment.Opening {
 		forwarder.requests.Placed(segment, target, now)
-	} else {
-		forwarder.requests.Note(segment, target, now)
-	}
-	matters := segment.Opening || segment.HasData
-	if !matters || !forwarder.egress.Waits(now) {
-		return false
+		return
 	}
-	forwarder.requests.Waits(segment, now)
-	return true
-}
-
-// left tells the requests that a datagram left which had to wait for the link.
-func (forwarder *Forwarder) left(datagram *egress.Datagram, now time.Time) {
-	forwarder.requests.Left(SegmentOf(datagram), now)
+	forwarder.requests.Note(segment, target, now)
 }
 
 // release decides anew about parked packets after the table changed. A copy of
@@ -248,14 +236,13 @@
 	}
 }
 
-// forward hands the segment's packet to the link on its way to a target. reported tells that
-// the requests are to be told when it leaves.
-func (forwarder *Forwarder) forward(segment steer.Segment, content []byte, to netip.AddrPort, reported bool, now time.Time) {
+// forward hands the segment's packet to the link on its way to a target.
+func (forwarder *Forwarder) forward(segment steer.Segment, content []byte, to netip.AddrPort, now time.Time) {
 	datagram := datagramOf(segment, content, to)
 	datagram.Opening = segment.Opening
 	datagram.Acknowledges = segment.Acknowledges()
 	datagram.Acknowledgement = segment.Acknowledgement
-	datagram.Reported = reported
+	datagram.Followed = Followed(segment)
 	forwarder.egress.Send(datagram, now)
 }
 
@@ -274,14 +261,6 @@
 	}
 }
 
-// SegmentOf returns what is known of the packet in a datagram that was forwarded.
-func SegmentOf(datagram *egress.Datagram) steer.Segment {
-	return steer.Segment{
-		Caller: datagram.Flow.Caller, Service: datagram.Flow.Service,
-		Opening: datagram.Opening, HasData: datagram.HasData, Sequence: datagram.Sequence,
-	}
-}
-
 // write writes one datagram. A lost one is sent again by its sender.
 func (forwarder *Forwarder) write(content []byte, to netip.AddrPort) {
 	_, err := forwarder.socket.WriteToUDPAddrPort(content, to)
--- a/internal/sim/directworld/links.go
+++ b/internal/sim/directworld/links.go
@@ -23,7 +23,7 @@
 	identityBytes = 8
 )
 
-// link is a balancer's narrow link. What comes waits in front of it, first come,
+// link is a balancer's narrow link, in worlds whose processes all have the world's clock. What comes waits in front of it, first come,
 // first served; what leaves goes through the product's own queue.
 type link struct {
 	world          *World
@@ -41,9 +41,7 @@
 func newLink(world *World, balancer *balancer) *link {
 	created := &link{world: world, bytesPerSecond: world.options.LinkRate, leaving: make(map[uint64]func())}
 	created.egress = egress.New(egress.Link{BytesPerSecond: world.options.LinkShare * world.options.LinkRate, DatagramOverhead: datagramOverhead}, created.write)
-	created.egress.Report(func(datagram *egress.Datagram, _ time.Time) {
-		balancer.watcher.Left(forwarder.SegmentOf(datagram), balancer.process.LocalNow())
-	})
+	created.egress.Follow(forwarder.Follow(balancer.watcher))
 	return created
 }
 
@@ -63,7 +61,7 @@
 }
 
 // leave hands a packet to the balancer's queue.
-func (link *link) leave(packet packet, to netip.AddrPort, reported bool, deliver func()) {
+func (link *link) leave(packet packet, to netip.AddrPort, deliver func()) {
 	link.next++
 	link.leaving[link.next] = deliver
 	segment := packet.segment()
@@ -72,7 +70,7 @@
 	link.egress.Send(egress.Datagram{
 		Flow: egress.Flow{Caller: segment.Caller, Service: segment.Service}, To: to,
 		Sequence: segment.Sequence, HasData: segment.HasData, Opening: segment.Opening,
-		Content: content, Reported: reported,
+		Content: content, Followed: forwarder.Followed(segment),
 	}, link.world.Now())
 	if !link.flushing {
 		link.flush()
@@ -113,10 +111,5 @@
 		balancer.world.deliver(balancer, packet, decision)
 		return
 	}
-	segment := packet.segment()
-	waits := (segment.Opening || segment.HasData) && balancer.link.egress.Waits(balancer.world.Now())
-	if waits {
-		balancer.watcher.Waits(segment, balancer.process.LocalNow())
-	}
-	balancer.link.leave(packet, decision.Target, waits, func() { balancer.world.deliver(balancer, packet, decision) })
+	balancer.link.leave(packet, decision.Target, func() { balancer.world.deliver(balancer, packet, decision) })
 }
