Insert by score in one place, and ask for proof of counts once

The best targets and the best groups of targets for a flow were kept by the same twelve lines; one function has them. Whether counts are proven asked for the share of misses twice: the most that it can be bounds what it is. No behaviour changes.

--- a/internal/direct/load/trust.go
+++ b/internal/direct/load/trust.go
@@ -47,7 +47,7 @@
 	if begunAt == 0 || now.UnixNano()-begunAt < int64(provenAfter) {
 		return false
 	}
-	return trust.missed.Most() <= missedMost && trust.holds()
+	return trust.missed.Most() <= missedMost && trust.flows.Whole()
 }
 
 // proportions returns what the trust rests on: the share of data behind a gap, and that of
--- a/internal/direct/steer/choices.go
+++ b/internal/direct/steer/choices.go
@@ -31,18 +31,25 @@
 
 // add takes a target in by its score.
 func (choices *choices) add(target *record, score float64) {
-	position := choices.count
-	for position > 0 && choices.scores[position-1] < score {
+	choices.count = insertByScore(choices.targets[:], choices.scores[:], choices.count, target, score)
+}
+
+// insertByScore puts an item into its place among the first count items, which are in the
+// descending order of their scores, and returns how many there are then. The last one falls
+// out when there is no room. An item with the score of others comes after them.
+func insertByScore[Item any](items []Item, scores []float64, count int, item Item, score float64) int {
+	position := count
+	for position > 0 && scores[position-1] < score {
 		position--
 	}
-	if position == choicesKept {
-		return
+	if position == len(items) {
+		return count
 	}
-	choices.count = min(choices.count+1, choicesKept)
-	copy(choices.scores[position+1:choices.count], choices.scores[position:choices.count-1])
-	copy(choices.targets[position+1:choices.count], choices.targets[position:choices.count-1])
-	choices.scores[position] = score
-	choices.targets[position] = target
+	count = min(count+1, len(items))
+	copy(scores[position+1:count], scores[position:count-1])
+	copy(items[position+1:count], items[position:count-1])
+	scores[position], items[position] = score, item
+	return count
 }
 
 // leastBusyFirst sorts the first candidates by how busy they are. Those that are
--- a/internal/direct/steer/pool.go
+++ b/internal/direct/steer/pool.go
@@ -190,18 +190,7 @@
 }
 
 func (best *groupChoices) add(added *group, score float64) {
-	position := best.count
-	for position > 0 && best.scores[position-1] < score {
-		position--
-	}
-	if position == groupsRanked {
-		return
-	}
-	best.count = min(best.count+1, groupsRanked)
-	copy(best.scores[position+1:best.count], best.scores[position:best.count-1])
-	copy(best.groups[position+1:best.count], best.groups[position:best.count-1])
-	best.scores[position] = score
-	best.groups[position] = added
+	best.count = insertByScore(best.groups[:], best.scores[:], best.count, added, score)
 }
 
 // best returns the group's best usable target, or nil.
