--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -69,11 +69,13 @@
 	open bool
 	// resetBySystem and resetByTarget tell who reset the flow.
 	resetBySystem, resetByTarget bool
-	next, expected               uint32
-	acknowledged                 uint32
-	echo                         uint32
-	answer                       strings.Builder
-	changed                      chan struct{}
+	// closed is set when the target has ended the flow.
+	closed         bool
+	next, expected uint32
+	acknowledged   uint32
+	echo           uint32
+	answer         strings.Builder
+	changed        chan struct{}
 }
 
 // The ways in which a request may end without a success.
@@ -155,6 +157,9 @@
 	if int32(p.ack-flow.acknowledged) > 0 || flow.acknowledged == 0 {
 		flow.acknowledged = p.ack
 	}
+	if p.has(flagFIN) {
+		flow.closed = true
+	}
 	if len(p.data) == 0 {
 		return
 	}
@@ -236,6 +241,13 @@
 	return flow.outcome(id)
 }
 
+// ended reports whether the target has ended the flow.
+func (flow *clientFlow) ended() bool {
+	flow.lock.Lock()
+	defer flow.lock.Unlock()
+	return flow.closed
+}
+
 // outcome returns how the latest request ended.
 func (flow *clientFlow) outcome(id string) error {
 	flow.lock.Lock()
--- a/review/rig/disks.go
+++ b/review/rig/disks.go
@@ -65,7 +65,7 @@
 }
 
 // replaceAsPlanned starts a successor of each of the old machines, waits until they have had their
-// time to catch up, and stops the old ones for good.
+// time to catch up, and stops the old ones for good, without SIGTERM if TAKEN is "kill".
 func (s *scene) replaceAsPlanned(old []*machine, err error) error {
 	if err != nil {
 		return err
@@ -94,6 +94,11 @@
 	time.Sleep(time.Until(startedAt.Add(catchUpTime + 500*time.Millisecond)))
 	for _, m := range old {
 		s.fleet.takeAway(m)
+		if os.Getenv("TAKEN") == "kill" {
+			m.kill()
+			s.record.note("core machine %s is gone for good without SIGTERM, %.3f s after its successor's start", m.address, time.Since(startedAt).Seconds())
+			continue
+		}
 		m.terminate()
 		s.record.note("core machine %s has got SIGTERM, has ended, and is gone for good, %.3f s after its successor's start", m.address, time.Since(startedAt).Seconds())
 	}
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -147,11 +147,7 @@
 // loseDisk kills the machine's process, empties its disk and starts it again with a file that says
 // that the system does not start for the first time.
 func (f *fleet) loseDisk(m *machine) error {
-	m.lock.Lock()
-	command, ended := m.command, m.ended
-	m.lock.Unlock()
-	_ = command.Process.Kill()
-	<-ended
+	m.kill()
 	if err := os.RemoveAll(filepath.Join(m.folder, "data")); err != nil {
 		return err
 	}
@@ -216,7 +212,7 @@
 			"limits.link-mbps": "1000.0", "bounds.flow-max-s": fmt.Sprint(flowMaxS),
 			"fault-tolerance.machines": "1", "fault-tolerance.zones": "0",
 		},
-		lists:  map[string][]string{"seeds": f.seeds()[:seedCount]},
+		lists:  map[string][]string{"seeds": f.seeds()[:min(seedCount, len(f.members))]},
 		tables: map[string]map[string]string{"zones": zoneRegions},
 	}
 	settings, err := known.fill(string(template))
@@ -270,17 +266,21 @@
 	}
 }
 
+// kill kills the process, if one was started, and waits for its end.
+func (m *machine) kill() {
+	m.lock.Lock()
+	command, ended := m.command, m.ended
+	m.lock.Unlock()
+	if command != nil {
+		_ = command.Process.Kill()
+		<-ended
+	}
+}
+
 // stop ends all processes and removes the folder.
 func (f *fleet) stop() {
 	for _, m := range f.machines() {
-		m.lock.Lock()
-		command, ended := m.command, m.ended
-		m.lock.Unlock()
-		if command == nil {
-			continue
-		}
-		_ = command.Process.Kill()
-		<-ended
+		m.kill()
 	}
 	_ = os.RemoveAll(f.folder)
 }
--- a/review/rig/heartbeats.go
+++ b/review/rig/heartbeats.go
@@ -145,6 +145,9 @@
 				s.record.note("client %d: request %s on flow %s is not answered: %v; %s", index, id, flow.key.client, err, s.ran(id))
 			}
 			time.Sleep(300 * time.Millisecond)
+			if flow.ended() {
+				break
+			}
 		}
 	}
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -43,6 +43,8 @@
 	"new-route":      newRoute,
 	"lost-disk":      lostDisk,
 	"two-replaced":   twoReplaced,
+	"planned-mix":    plannedMix,
+	"core-walk":      coreWalk,
 }
 
 func main() {
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -60,8 +60,10 @@
 	slots  chan struct{}
 	done   chan struct{}
 
-	lock     sync.Mutex
-	stopped  bool
+	lock    sync.Mutex
+	stopped bool
+	// closing makes a draining target close each flow after its next answer.
+	closing  bool
 	state    string
 	sequence int
 	node     int
@@ -321,6 +323,10 @@
 	for range 8 {
 		t.lock.Lock()
 		delivered := int32(flow.acknowledged-last) >= 0
+		if delivered && t.closing && !flow.closed {
+			flow.closed = true
+			t.send(key, &packet{seq: flow.next, ack: flow.expected, flags: flagACK | flagFIN, echo: flow.echo})
+		}
 		if delivered || t.stopped || t.flows[key] != flow {
 			t.lock.Unlock()
 			return
