--- a/review/rig/walk.go
+++ b/review/rig/walk.go
@@ -10,8 +10,8 @@
 )
 
 // coreWalk is no case of its own: it plays disruptions of the core in a random order, one at a time
-// and within the limits, with the time to catch up after each, and reads and changes the
-// configuration all the while.
+// or several that overlap, with no more than one disk lost, with the time to catch up after each, and
+// reads and changes the configuration all the while.
 func coreWalk(s *scene) error {
 	if err := s.begin(); err != nil {
 		return err
@@ -20,7 +20,7 @@
 	seed := uint64(time.Now().UnixNano())
 	random := rand.New(rand.NewPCG(seed, 1))
 	s.record.note("seed %d", seed)
-	steps := []func(*rand.Rand) error{s.walkWipe, s.walkReplace, s.walkPower, s.walkFreeze, s.walkKillAll}
+	steps := []func(*rand.Rand) error{s.walkWipe, s.walkReplace, s.walkPower, s.walkFreeze, s.walkKillAll, s.walkOverlap}
 	for began := time.Now(); time.Since(began) < 95*time.Second && s.record.breaks() == 0; {
 		if s.trouble {
 			if err := steps[random.IntN(len(steps))](random); err != nil {
@@ -144,3 +144,51 @@
 	catchUp()
 	return nil
 }
+
+// walkOverlap kills or freezes several members at once, and empties the disk of one of them at most.
+func (s *scene) walkOverlap(random *rand.Rand) error {
+	wiped := random.IntN(2 * len(s.fleet.members))
+	ended := make(chan error, len(s.fleet.members))
+	for index, m := range s.fleet.members {
+		kind, start, length := random.IntN(3), random.IntN(400), random.IntN(5000)
+		if index == wiped {
+			kind = 3
+		}
+		s.record.note("step: %s, overlap of kind %d after %d ms for %d ms", m.address, kind, start, length)
+		go func() {
+			time.Sleep(time.Duration(start) * time.Millisecond)
+			ended <- s.disturb(m, kind, time.Duration(length)*time.Millisecond)
+		}()
+	}
+	for range s.fleet.members {
+		if err := <-ended; err != nil {
+			return err
+		}
+	}
+	catchUp()
+	return nil
+}
+
+// disturb leaves the member alone, kills or freezes it for the length, or makes it lose its disk.
+func (s *scene) disturb(m *machine, kind int, length time.Duration) error {
+	switch kind {
+	case 0:
+		return nil
+	case 1:
+		m.kill()
+		time.Sleep(length)
+		m.joins = true
+		if err := s.fleet.writeSettings(m); err != nil {
+			return err
+		}
+		return s.fleet.launch(m)
+	case 2:
+		if err := m.signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		time.Sleep(length)
+		return m.signal(syscall.SIGCONT)
+	default:
+		return s.fleet.loseDisk(m)
+	}
+}
