--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -70,7 +70,11 @@
 	// resetBySystem and resetByTarget tell who reset the flow.
 	resetBySystem, resetByTarget bool
 	// closed is set when the target has ended the flow.
-	closed         bool
+	closed bool
+	// openedAt is when the flow opened here, and sentAt when its latest packet was sent.
+	openedAt, sentAt time.Time
+	// rested is the longest time between two packets of the client since the flow opened.
+	rested         time.Duration
 	next, expected uint32
 	acknowledged   uint32
 	echo           uint32
