Members tell why learners have no vote

Three explanations could not be told apart: it had not caught up, the group had all voters that it wanted, or a silent voter kept its vote.

Change: the leader logs "no membership change for learners" with the cause and the counts whenever the cause changes, and exports members_ready, the voters that answered it recently and the learners that could vote at once.

--- a/internal/direct/member/metrics.go
+++ b/internal/direct/member/metrics.go
@@ -9,6 +9,7 @@
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/registrar"
 	"merlinpaddle/internal/faults"
+	"merlinpaddle/internal/reconfigure"
 	"merlinpaddle/internal/replica"
 )
 
@@ -29,6 +30,7 @@
 	targets         *prometheus.Desc
 	staleness       *prometheus.Desc
 	members         *prometheus.Desc
+	membersReady    *prometheus.Desc
 	logEntries      *prometheus.Desc
 	logSyncs        *prometheus.Desc
 	logBytes        *prometheus.Desc
@@ -51,6 +53,7 @@
 		targets:         describe("targets", "Targets, by state.", "state"),
 		staleness:       describe("member_current_seconds", "Time since this follower was last up to date with its leader's commit index."),
 		members:         describe("members", "Members of the control group, by whether they vote.", "vote"),
+		membersReady:    describe("members_ready", "At the leader: voters that answered it recently, and learners that did so and have caught up.", "vote"),
 		logEntries:      describe("log_entries_total", "Entries that this member wrote to its log."),
 		logSyncs:        describe("log_syncs_total", "Synced batches that this member wrote to its log."),
 		logBytes:        describe("log_bytes_total", "Bytes that this member wrote to its log."),
@@ -73,7 +76,7 @@
 func (metrics *metrics) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, description := range []*prometheus.Desc{
 		metrics.leading, metrics.term, metrics.revision, metrics.declaredVersion, metrics.targets,
-		metrics.staleness, metrics.members, metrics.logEntries, metrics.logSyncs, metrics.logBytes,
+		metrics.staleness, metrics.members, metrics.membersReady, metrics.logEntries, metrics.logSyncs, metrics.logBytes,
 	} {
 		descriptions <- description
 	}
@@ -97,6 +100,11 @@
 		gauge(metrics.staleness, now.Sub(status.CurrentAt).Seconds())
 	}
 	metrics.collectTargetAndMemberCounts(gauge, status)
+	if status.Leading {
+		counts := reconfigure.CountMembers(status, now)
+		gauge(metrics.membersReady, float64(counts.ResponsiveVoters), "yes")
+		gauge(metrics.membersReady, float64(counts.ReadyLearners), "no")
+	}
 	counter(metrics.logEntries, status.Log.Entries)
 	counter(metrics.logSyncs, status.Log.Batches)
 	counter(metrics.logBytes, status.Log.Bytes)
--- a/internal/reconfigure/reconfigure.go
+++ b/internal/reconfigure/reconfigure.go
@@ -77,6 +77,8 @@
 	pendingSince time.Time
 	// changeDone has a value once the result of a proposed change has arrived.
 	changeDone chan struct{}
+	// loggedStandby is the latest logged reason why learners have no vote.
+	loggedStandby string
 }
 
 // New returns the controller of one member.
@@ -97,12 +99,31 @@
 	if controller.pending(now) {
 		return
 	}
+	controller.logStandby(status, now)
 	change := Plan(controller.options, status, now)
 	if change.Kind != ChangeNone {
 		controller.propose(now, change)
 	}
 }
 
+// logStandby logs why the group's learners have no vote, whenever the reason changes.
+func (controller *Controller) logStandby(status replica.Status, now time.Time) {
+	plan := planner{options: controller.options, status: status, now: now}
+	reason := plan.standbyReason()
+	if reason == controller.loggedStandby {
+		return
+	}
+	controller.loggedStandby = reason
+	if reason == "" {
+		return
+	}
+	counts := CountMembers(status, now)
+	controller.logger.Info("no membership change for learners",
+		zap.String("cause", reason),
+		zap.Int("voters", counts.Voters), zap.Int("responsive", counts.ResponsiveVoters),
+		zap.Int("learners", counts.Learners), zap.Int("ready", counts.ReadyLearners))
+}
+
 // pending reports whether a proposed change is neither done nor older than changeTimeout.
 func (controller *Controller) pending(now time.Time) bool {
 	select {
@@ -207,22 +228,66 @@
 }
 
 // responsive reports whether the member answered within responsiveWithin.
-func (plan *planner) responsive(peer raft.Peer) bool {
-	return !peer.LastReplyAt.IsZero() && plan.now.Sub(peer.LastReplyAt) < responsiveWithin
+func (plan *planner) responsive(peer raft.Peer) bool { return responsiveAt(peer, plan.now) }
+
+func responsiveAt(peer raft.Peer, now time.Time) bool {
+	return !peer.LastReplyAt.IsZero() && now.Sub(peer.LastReplyAt) < responsiveWithin
+}
+
+// MemberCounts are the numbers of members as the leader sees them.
+type MemberCounts struct {
+	// Voters is the number of voters, and ResponsiveVoters of those that answered recently.
+	Voters, ResponsiveVoters int
+	// Learners is the number of learners, and ReadyLearners of those that answered recently and have
+	// caught up.
+	Learners, ReadyLearners int
+}
+
+// CountMembers counts the members in the status of a leader. At a member that does not lead, all
+// counts are zero.
+func CountMembers(status replica.Status, now time.Time) MemberCounts {
+	var counts MemberCounts
+	for _, peer := range status.Peers {
+		responsive := responsiveAt(peer, now)
+		switch {
+		case peer.Learner:
+			counts.Learners++
+			if responsive && peer.CaughtUp {
+				counts.ReadyLearners++
+			}
+		default:
+			counts.Voters++
+			if responsive {
+				counts.ResponsiveVoters++
+			}
+		}
+	}
+	return counts
 }
 
 // countVoters returns the number of voters, and the number of those that are responsive.
 func (plan *planner) countVoters() (all, responsive int) {
-	for _, peer := range plan.status.Peers {
-		if peer.Learner {
-			continue
-		}
-		all++
-		if plan.responsive(peer) {
-			responsive++
-		}
+	counts := CountMembers(plan.status, plan.now)
+	return counts.Voters, counts.ResponsiveVoters
+}
+
+// standbyReason returns why the group's learners have no vote, or an empty string if there are none.
+func (plan *planner) standbyReason() string {
+	counts := CountMembers(plan.status, plan.now)
+	switch {
+	case counts.Learners == 0:
+		return ""
+	case counts.ReadyLearners == 0:
+		return "no learner responds and has caught up"
+	case counts.Voters < plan.wantedVoters():
+		return "a learner is about to get a vote"
+	case counts.ResponsiveVoters <= counts.Voters/2:
+		return "too few voters respond to change the membership"
+	case counts.ResponsiveVoters < counts.Voters:
+		return "a silent voter keeps its vote until it is replaced"
+	default:
+		return "the group has all the voters that it wants"
 	}
-	return all, responsive
 }
 
 const (
