A late or foreign heartbeat does not replace a living target

Cause: a call with an unknown identifier counted as the latest start at its address, and the target there was committed as failed in the same log entry, without regard to its renewals. A call under a known identifier with a later start did the same, whatever service it named.

Change: an unknown identifier at an address that another incarnation occupies is recorded as failed. The leader, which alone knows who renews, lets the two change places once the former one missed a renewal and the new one called twice, or the former one missed two. If both tell their starts, the later one takes over at once as before. A call under a known identifier that names a service which is not declared, while the target's is, is refused.

Why it works: only a target that is alive renews, and a target that lives does not miss two renewals. A probe would prove nothing, since either would answer.

Four cases of TestStateMovesForwardOnly took the replacement at the first call for granted, which is the fault. They now go through the leader's finding and ask for the same states, and three cases ask that the occupant keeps its state.

--- a/internal/direct/declared/declared.go
+++ b/internal/direct/declared/declared.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"merlinpaddle/internal/faults"
@@ -120,6 +121,11 @@
 	Limits   Limits
 }
 
+// HasService reports whether the configuration declares the service.
+func (configuration *Configuration) HasService(name string) bool {
+	return slices.ContainsFunc(configuration.Services, func(service Service) bool { return service.Name == name })
+}
+
 // Validate returns an error that names the first invalid field. Its code is ConfigurationInvalid.
 func (configuration *Configuration) Validate() error {
 	if configuration.Version == 0 {
--- a/internal/direct/directory/apply.go
+++ b/internal/direct/directory/apply.go
@@ -112,12 +112,16 @@
 // register adds an incarnation or moves its state forward. An incarnation with a later start
 // replaces the recorded one, which is marked as failed because its process and its flows are lost.
 // A failed target stays failed, because a renewal may arrive long after it was sent. The state
-// that the renewal reports takes effect once the target is found alive.
+// that the renewal reports takes effect once the target is found alive. A call of another writer
+// changes nothing.
 func (directory *Directory) register(reported Target) Result {
 	target, known := directory.targets.byID[reported.ID]
 	if !known {
 		return directory.addIncarnation(reported)
 	}
+	if directory.isForeign(target, reported) {
+		return Result{Token: target.Token}
+	}
 	if target.startedBefore(reported) {
 		directory.markFailed(target)
 		return directory.addIncarnation(reported)
@@ -160,7 +164,16 @@
 	directory.updateColdness(target, reported)
 }
 
-// addIncarnation adds a new incarnation under the next token.
+// isForeign reports whether a call under the target's identifier comes from another writer: it names
+// a service that is not declared, and the target belongs to one that is.
+func (directory *Directory) isForeign(target *Target, reported Target) bool {
+	return target.Service != reported.Service &&
+		!directory.configuration.HasService(reported.Service) && directory.configuration.HasService(target.Service)
+}
+
+// addIncarnation adds a new incarnation under the next token. If another one still occupies its
+// address, the new one is added as failed until the leader finds which of them is alive: its call may
+// have been sent before the other one started.
 func (directory *Directory) addIncarnation(reported Target) Result {
 	added := reported
 	added.Aside = false
@@ -169,10 +182,23 @@
 	directory.nextToken++
 	directory.targets.add(&added)
 	directory.markChanged(&added)
-	directory.failPredecessors(&added)
+	if directory.isOccupied(&added) {
+		directory.markFailed(&added)
+	} else {
+		directory.failPredecessors(&added)
+	}
 	return Result{Token: added.Token}
 }
 
+// isOccupied reports whether another incarnation takes flows at the address of the added one and is
+// not known to have started before it.
+func (directory *Directory) isOccupied(added *Target) bool {
+	return slices.ContainsFunc(directory.targets.byAddress[added.Address], func(other *Target) bool {
+		replaced := other.Started != 0 && added.Started > other.Started && directory.configuration.HasService(added.Service)
+		return other != added && (other.State == TargetReady || other.State == TargetDraining) && !replaced
+	})
+}
+
 // failPredecessors marks the earlier incarnations at the same address as failed. An address serves
 // one incarnation at a time, so their flows are lost.
 func (directory *Directory) failPredecessors(added *Target) {
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -211,6 +211,32 @@
 	return target.Token, true
 }
 
+// Occupant returns the earlier incarnation at the address of the one with the token that has not
+// failed. It returns false if there is none.
+func (directory *Directory) Occupant(token Token) (Target, bool) {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	target, exists := directory.targets.find(token)
+	if !exists {
+		return Target{}, false
+	}
+	for _, other := range directory.targets.byAddress[target.Address] {
+		if other.Token < token && other.State != TargetFailed {
+			return *other, true
+		}
+	}
+	return Target{}, false
+}
+
+// IsForeign reports whether a call under the identifier of a registered target comes from another
+// writer. Such a call changes nothing.
+func (directory *Directory) IsForeign(reported Target) bool {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	target, exists := directory.targets.byID[reported.ID]
+	return exists && directory.isForeign(target, reported)
+}
+
 // Successor returns the incarnation that replaced the one with the token: the latest one with the
 // same identifier, else a later one at the same address that did not fail. It returns false if
 // there is none.
--- a/internal/direct/directory/directory_test.go
+++ b/internal/direct/directory/directory_test.go
@@ -80,6 +80,17 @@
 	}
 }
 
+// replace registers a target at the address of another one, and records that the leader found the
+// former alive and the latter dead.
+func (runner *runner) replace(replaced, successor TargetID) {
+	runner.t.Helper()
+	occupant, _ := runner.directory.Target(replaced)
+	added := targetAt(successor, 1, 1, TargetReady)
+	added.Address = occupant.Address
+	runner.register(added)
+	runner.apply(Command{TargetHealth: &HealthChange{Failed: []Token{occupant.Token}, Recovered: []Token{runner.token(successor)}}})
+}
+
 func TestTokensAreNeverReused(t *testing.T) {
 	runner := newRunner(t)
 	first := runner.register(targetAt(1, 1, 1, TargetReady))
@@ -140,22 +151,37 @@
 			r.register(targetAt(1, 1, 9, TargetDraining))
 			r.reportRecovered(1)
 		}, TargetDraining},
-		{"replaced, then renewed", func(r *runner) {
+		{"another target calls from its address", func(r *runner) {
 			r.register(targetAt(2, 1, 1, TargetReady))
+			require.Equal(r.t, TargetFailed, r.state(2), "until the leader knows which one is alive")
+		}, TargetReady},
+		{"another target calls from its address while it drains", func(r *runner) {
+			r.register(targetAt(1, 1, 5, TargetDraining))
+			r.register(targetAt(2, 1, 1, TargetReady))
+			require.Equal(r.t, TargetFailed, r.state(2))
+		}, TargetDraining},
+		{"replaced, then renewed", func(r *runner) {
+			r.replace(1, 2)
 			r.register(targetAt(1, 1, 9, TargetReady))
 		}, TargetFailed},
 		{"replaced by one that failed, then recovered", func(r *runner) {
-			r.register(targetAt(2, 1, 1, TargetReady))
+			r.replace(1, 2)
 			r.reportFailed(2)
 			r.reportRecovered(1)
 		}, TargetReady},
 		{"replaced at its address", func(r *runner) {
-			r.register(targetAt(2, 1, 1, TargetReady))
+			r.replace(1, 2)
+			require.Equal(r.t, TargetReady, r.state(2))
 		}, TargetFailed},
 		{"replaced, then recovered", func(r *runner) {
-			r.register(targetAt(2, 1, 1, TargetReady))
+			r.replace(1, 2)
 			r.reportRecovered(1)
 		}, TargetFailed},
+		{"replaced after it left", func(r *runner) {
+			r.apply(Command{Leave: &Departure{ID: 1}})
+			r.register(targetAt(2, 1, 1, TargetReady))
+			require.Equal(r.t, TargetReady, r.state(2))
+		}, TargetFailed},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/direct/registrar/health_inspect.go
+++ b/internal/direct/registrar/health_inspect.go
@@ -20,6 +20,9 @@
 	// failedAt is when the leader marked the target as failed or first found it marked; zero if it
 	// has not failed.
 	failedAt time.Time
+	// contestedAt is when another incarnation was first found to occupy the failed target's
+	// address; zero if none does.
+	contestedAt time.Time
 	// proposedAt is when a change to the target was last proposed.
 	proposedAt time.Time
 	// unansweredProbes counts the leader's consecutive unanswered probes.
@@ -105,11 +108,43 @@
 	case now.Sub(observed.failedAt) > health.options.RemoveFailedAfter:
 		health.logger.Info("target forgotten", zap.Uint64("target", uint64(target.ID)), zap.Duration("failed_for", now.Sub(observed.failedAt)))
 		health.propose(now, target.Token, directory.Command{ForgetTargets: &directory.Forgetting{Tokens: []directory.Token{target.Token}}})
+	case health.isContested(now, target, observed):
 	case observed.renewedAt.After(observed.failedAt) && now.Sub(observed.renewedAt) <= health.options.MissedAfter:
 		health.recoverIfAlive(now, target, observed)
 	}
 }
 
+// occupantMissedRenewals is how many consecutive renewals the occupant of an address must miss until
+// a single call of another target suffices to replace it. The call may have been sent long ago.
+const occupantMissedRenewals = 2
+
+// isContested reports whether an earlier incarnation, which has not failed, occupies the address of a
+// failed target. The target takes the address over once it has called twice and the occupant has
+// missed a renewal, or several. A probe would prove nothing, because either would answer it.
+func (health *HealthMonitor) isContested(now time.Time, target *directory.Target, observed *observation) bool {
+	occupant, contested := health.directory.Occupant(target.Token)
+	if !contested {
+		observed.contestedAt = time.Time{}
+		return false
+	}
+	if observed.contestedAt.IsZero() {
+		observed.contestedAt = now
+	}
+	silence := observed.renewedAt.Sub(health.observationOf(occupant.Token).renewedAt)
+	calledTwice := observed.renewedAt.Sub(observed.contestedAt) >= health.options.MissedAfter/2
+	if silence < health.options.MissedAfter || !calledTwice && silence < occupantMissedRenewals*health.options.MissedAfter {
+		return true
+	}
+	health.logger.Info("target replaced at its address",
+		zap.Uint64("target", uint64(occupant.ID)), zap.Uint32("token", uint32(occupant.Token)),
+		zap.Uint64("successor", uint64(target.ID)), zap.Duration("silence", silence))
+	observed.failedAt = time.Time{}
+	health.propose(now, target.Token, directory.Command{TargetHealth: &directory.HealthChange{
+		Failed: []directory.Token{occupant.Token}, Recovered: []directory.Token{target.Token},
+	}})
+	return true
+}
+
 // recoverIfAlive handles a failed target that renews. The renewal may have been sent before
 // the target failed, so the target must also answer a probe after it. If another incarnation
 // has taken its address, a probe proves nothing, because that incarnation would answer it.
--- a/internal/direct/registrar/registrar.go
+++ b/internal/direct/registrar/registrar.go
@@ -76,7 +76,7 @@
 // Register registers or renews a target. It calls done without an error once the changes are
 // durable on a majority; a renewal that changes nothing is not committed. A registration of an
 // incarnation that started before the latest known one is refused, because the target has
-// restarted since.
+// restarted since, and so is one of another writer.
 func (registrar *Registrar) Register(now time.Time, target directory.Target, deadline time.Time, done func(error)) {
 	if err := validateTarget(target); err != nil {
 		done(err)
@@ -91,6 +91,10 @@
 		done(faults.New(faults.RegistrationInvalid, "started: %d, but the target restarted at %d", target.Started, current.Started))
 		return
 	}
+	if registrar.directory.IsForeign(target) {
+		done(faults.New(faults.RegistrationInvalid, "service: %q is not declared, and the target belongs to %q", target.Service, current.Service))
+		return
+	}
 	registrar.renewalTable.Put(target.ID, now)
 	if exists && registrar.isRenewal(current, target) {
 		done(nil)
--- a/internal/direct/registrar/registrar_test.go
+++ b/internal/direct/registrar/registrar_test.go
@@ -379,6 +379,40 @@
 			harness.renewFor(12*time.Second, 1)
 			require.Equal(harness.t, directory.TargetFailed, harness.targetState(2))
 		}, directory.TargetReady},
+		{"target that renews keeps its address beside a registration from it", func(harness *harness) {
+			require.NoError(harness.t, harness.register(atAddressOf(1, readyTarget(2, 1))))
+			for range 12 {
+				require.Equal(harness.t, directory.TargetReady, harness.targetState(1))
+				require.Equal(harness.t, directory.TargetFailed, harness.targetState(2))
+				harness.renewFor(time.Second, 1)
+			}
+		}, directory.TargetReady},
+		{"target that another one follows at its address fails once the other has called twice", func(harness *harness) {
+			harness.run(1500 * time.Millisecond)
+			require.NoError(harness.t, harness.register(atAddressOf(1, readyTarget(2, 1))))
+			require.Equal(harness.t, directory.TargetFailed, harness.targetState(2))
+			harness.run(500 * time.Millisecond)
+			require.NoError(harness.t, harness.register(atAddressOf(1, readyTarget(2, 2))))
+			require.Equal(harness.t, directory.TargetReady, harness.targetState(2))
+		}, directory.TargetFailed},
+		{"target that another one follows at its address fails at the first call if it missed two renewals", func(harness *harness) {
+			harness.run(4 * time.Second)
+			require.NoError(harness.t, harness.register(atAddressOf(1, readyTarget(2, 1))))
+			require.Equal(harness.t, directory.TargetReady, harness.targetState(2))
+		}, directory.TargetFailed},
+		{"one late call from its address does not replace a target that missed a renewal", func(harness *harness) {
+			harness.run(1500 * time.Millisecond)
+			require.NoError(harness.t, harness.register(atAddressOf(1, readyTarget(2, 1))))
+			harness.renewFor(5*time.Second, 1)
+			require.Equal(harness.t, directory.TargetFailed, harness.targetState(2))
+		}, directory.TargetReady},
+		{"another writer at its address that repeats itself does not replace it", func(harness *harness) {
+			for range 8 {
+				require.NoError(harness.t, harness.register(atAddressOf(1, readyTarget(2, uint64(harness.now.UnixNano())))))
+				harness.renewFor(time.Second, 1)
+			}
+			require.Equal(harness.t, directory.TargetFailed, harness.targetState(2))
+		}, directory.TargetReady},
 		{"target that left fails once its port is closed", func(harness *harness) {
 			harness.registrar.Leave(harness.now, directory.Departure{ID: 1}, harness.now.Add(time.Second), func(err error) { require.NoError(t, err) })
 			harness.run(time.Second)
--- a/internal/direct/registrar/restart_test.go
+++ b/internal/direct/registrar/restart_test.go
@@ -8,6 +8,7 @@
 
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
+	"merlinpaddle/internal/direct/probe"
 	"merlinpaddle/internal/faults"
 )
 
@@ -69,3 +70,27 @@
 	require.False(t, exists)
 	require.Equal(t, directory.TargetReady, harness.targetState(1))
 }
+
+// TestForeignCallsAreRefused guards against calls of other writers under a target's identifier, which
+// must neither change the target nor count as its renewals.
+func TestForeignCallsAreRefused(t *testing.T) {
+	harness := newHarness(t)
+	require.NoError(t, harness.declare(testConfiguration(1, 443)))
+	own := readyTarget(1, 5)
+	own.Started = 100
+	require.NoError(t, harness.register(own))
+	foreign := readyTarget(1, 7)
+	foreign.Service, foreign.Started = "nobody", 900
+	proposals := harness.group.proposals
+	err := harness.register(foreign)
+	require.Equal(t, faults.RegistrationInvalid, faults.CodeOf(err))
+	require.ErrorContains(t, err, "service")
+	require.Equal(t, proposals, harness.group.proposals)
+	own.Sequence++
+	require.NoError(t, harness.register(own), "the target's own calls are still accepted")
+	harness.probeOutcome = probe.Refused
+	for range 9 {
+		require.Error(t, harness.register(foreign))
+	}
+	require.Equal(t, directory.TargetFailed, harness.targetState(1), "foreign calls do not count as renewals")
+}
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -59,6 +59,11 @@
 		summary: "targets leave without draining, and renewals of targets that died, or whose address another target took over, arrive seconds late",
 		play:    lateCalls,
 	},
+	{
+		name:    "direct-foreign-calls",
+		summary: "first calls of targets that ended unheard, and calls of other writers, name the addresses and identifiers of living targets; targets are replaced meanwhile",
+		play:    foreignCalls,
+	},
 	{
 		name:    "direct-restarted-targets",
 		summary: "targets crash and start again with the same identifiers while renewals of their previous starts arrive seconds late",
@@ -288,6 +293,43 @@
 	}
 }
 
+// foreignCalls sends calls that name the address of a living target: the first call of a target that
+// ended before the living one started, with or without its start; and calls of another writer, some
+// of them under the target's identifier. A target crashes meanwhile, and another one takes its address.
+func foreignCalls(world *World) {
+	for round := range 8 {
+		for _, victim := range world.pickReadyTargets(3) {
+			world.after(world.random.Between(0, 2*time.Second), func() { world.sendForeignCall(victim, world.random.IntN(4)) })
+		}
+		if round%2 == 0 {
+			target := world.pickReadyTargets(1)[0]
+			world.recordDisturbance("death", target.address.String())
+			target.Crash(false)
+			address, zone, service := target.address, target.zone, target.service
+			world.after(world.random.Between(2*time.Second, 3*time.Second), func() { world.addTargetAt(service, zone, address) })
+		}
+		world.RunFor(7 * time.Second)
+	}
+}
+
+// sendForeignCall sends a registration of the given kind that a living target did not send.
+func (world *World) sendForeignCall(victim *target, kind int) {
+	call := victim.registration()
+	call.Sequence += 7
+	switch kind {
+	case 0: // the late first call of an earlier target
+		call.ID, call.Started = world.newTargetID(), victim.started-5000
+	case 1: // the same from a target that does not tell its start
+		call.ID, call.Started = world.newTargetID(), 0
+	case 2: // another writer
+		call.ID, call.Service, call.Started = world.newTargetID(), "nobody", victim.started+5000
+	default: // another writer under the target's identifier
+		call.Service, call.Started = "nobody", victim.started+5000
+	}
+	world.run.Trace.Add(victim.address.String(), "foreign call", "")
+	world.sendRegistration(victim, call)
+}
+
 // startKnownBound is how long after the restart of a target every balancer must know its new start:
 // its first registration is sent within a renewal interval, and a lost one is repeated after
 // another interval.
--- a/internal/sim/directworld/target.go
+++ b/internal/sim/directworld/target.go
@@ -57,9 +57,13 @@
 
 // addTargetAt starts a target with a new identifier at an address, which may have been used before.
 func (world *World) addTargetAt(service string, zone model.ZoneName, address netip.AddrPort) *target {
+	return world.startTarget(world.newTargetID(), service, zone, address)
+}
+
+// newTargetID returns an identifier that no target had.
+func (world *World) newTargetID() directory.TargetID {
 	world.nextID++
-	id := directory.TargetID(world.nextID<<8 | world.random.Uint64()&0xff)
-	return world.startTarget(id, service, zone, address)
+	return directory.TargetID(world.nextID<<8 | world.random.Uint64()&0xff)
 }
 
 // Restart ends the target at once and starts another incarnation with the same identifier and
@@ -229,13 +233,18 @@
 	world := target.world
 	world.after(delay, func() {
 		world.run.Trace.Add(target.address.String(), "late renewal", "")
-		world.callMember(target.endpoint(), kernel.Pick(world.random, world.listed()),
-			func(member *Member, now, deadline time.Time, done func(error)) {
-				member.Registrar.Register(now, registration, deadline, done)
-			}, func(error) {})
+		world.sendRegistration(target, registration)
 	})
 }
 
+// sendRegistration sends a registration from the target's endpoint to a random member, once.
+func (world *World) sendRegistration(target *target, registration directory.Target) {
+	world.callMember(target.endpoint(), kernel.Pick(world.random, world.listed()),
+		func(member *Member, now, deadline time.Time, done func(error)) {
+			member.Registrar.Register(now, registration, deadline, done)
+		}, func(error) {})
+}
+
 // hangsOn reports whether the target accepts a request and never answers it.
 func (target *target) hangsOn(flow *flow, request int) bool {
 	if target.hungRequests[flow] == request {
--- a/internal/sim/mutant/direct.go
+++ b/internal/sim/mutant/direct.go
@@ -9,6 +9,7 @@
 	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/feed"
 	"merlinpaddle/internal/direct/load"
+	"merlinpaddle/internal/direct/registrar"
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/direct/transfer"
 	"merlinpaddle/internal/filesystem"
@@ -105,6 +106,16 @@
 				return message, true
 			}),
 		},
+		{
+			Name:     "direct-renewals-unheard",
+			Breaks:   "followers do not forward renewals, so that a late call replaces the target that lives at its address",
+			Expect:   []checker.Invariant{checker.InvariantFlowKept},
+			Scenario: namedScenario("direct-foreign-calls"),
+			Variant: directMessages(func(message any) (any, bool) {
+				_, isRenewals := message.(registrar.Renewals)
+				return message, !isRenewals
+			}),
+		},
 		{
 			Name:     "direct-token-ignored",
 			Breaks:   "a balancer chooses a new target for every packet instead of using the token",
