Balancers keep open flows on a route that they have not received yet

Cause: a balancer looked for the route before it looked at the packet's token. Members send each follower a version at a time of its own, 15 to 50 ms apart; in that time a balancer that was confirmed a moment ago counts as current, and answered packets of open flows on the new route with resets.

Change: a packet with a token goes to the owner that it names where the route is not known; an unknown token waits for the next table as elsewhere. The table keeps the addresses of routes that it had and has no more: their flows are reset as before, but only once the table was confirmed after the packet arrived, because the route may have been declared again. A parked packet keeps the time at which it arrived, so that it waits no longer than parkingTimeout in all.

Why it works: a token is written only into flows that a balancer opened on a declared route, so a token on an unknown route means that this table is behind.

--- a/internal/direct/forwarder/forwarder.go
+++ b/internal/direct/forwarder/forwarder.go
@@ -82,11 +82,13 @@
 	requests  RequestWatcher
 	admission Admission
 	parking   *parking
-	// tableChanges receives a notice when the table changes. It is subscribed when the forwarder
-	// is created, so that no change is missed before RunParking starts.
-	tableChanges <-chan struct{}
-	egress       *egress.Egress
-	failures     *socketfault.Counter
+	// tableChanges receives a notice when the table changes, and confirmations when it is
+	// confirmed. They are subscribed when the forwarder is created, so that nothing is missed before
+	// RunParking starts.
+	tableChanges  <-chan struct{}
+	confirmations <-chan struct{}
+	egress        *egress.Egress
+	failures      *socketfault.Counter
 }
 
 // Options configure a forwarder.
@@ -114,7 +116,7 @@
 	// depends on the buffer sizes.
 	options.Failures.Note(socketfault.Buffer, socket.SetReadBuffer(socketBufferBytes))
 	options.Failures.Note(socketfault.Buffer, socket.SetWriteBuffer(socketBufferBytes))
-	forwarder := &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, requests: requests, admission: admission, observer: observer, parking: newParking(), tableChanges: table.Watch(), failures: options.Failures}
+	forwarder := &Forwarder{socket: socket, codec: codec, table: table, suspects: suspects, requests: requests, admission: admission, observer: observer, parking: newParking(), tableChanges: table.Watch(), confirmations: table.WatchConfirmations(), failures: options.Failures}
 	forwarder.egress = egress.New(options.Link, forwarder.write)
 	forwarder.egress.ObserveQueue(NewQueueObserver(requests))
 	return forwarder, nil
@@ -180,7 +182,7 @@
 	}
 	decision := forwarder.admission.Review(segment, forwarder.table.Decide(segment, now), now)
 	if decision.Action == steer.Drop && shouldPark(decision.Reason) {
-		forwarder.parking.put(packet, segment, now)
+		forwarder.parking.put(packet, segment, decision.Reason, now)
 	}
 	forwarder.execute(buffer, headroom, segment, decision, now)
 }
@@ -224,7 +226,8 @@
 	}
 }
 
-// RunParking processes parked packets again whenever the table changes, until ctx ends.
+// RunParking processes parked packets again whenever the table changes, and those that wait for a
+// confirmation of the table whenever there is one, until ctx ends.
 func (forwarder *Forwarder) RunParking(ctx context.Context) error {
 	for {
 		select {
@@ -232,6 +235,10 @@
 			return nil
 		case <-forwarder.tableChanges:
 			forwarder.retryParked(time.Now())
+		case <-forwarder.confirmations:
+			if forwarder.parking.hasUnconfirmed() {
+				forwarder.retryParked(time.Now())
+			}
 		}
 	}
 }
--- a/internal/direct/forwarder/forwarder_test.go
+++ b/internal/direct/forwarder/forwarder_test.go
@@ -278,6 +278,24 @@
 	require.Equal(t, packetOf(kindReset, caller, 99, 0), fixture.receive(fixture.caller))
 }
 
+// TestFlowOfRemovedRouteIsResetAfterConfirmation: a packet of a flow whose route was removed waits until
+// the table is confirmed, and a packet of a flow whose route was never known goes to its owner.
+func TestFlowOfRemovedRouteIsResetAfterConfirmation(t *testing.T) {
+	fixture := newFixture(t)
+	fixture.applyTable(1, directory.TargetReady)
+	require.True(t, fixture.table.Apply(directory.Changes{From: 1, To: 2, Version: 2, Removed: []netip.AddrPort{loopback(servicePort)}}, time.Now()))
+	caller := portOf(fixture.caller)
+	fixture.send(packetOf(kindData, caller, servicePort, 7))
+	// The packet is decided about again if the notice of the table's change comes after it.
+	require.Eventually(t, func() bool { return fixture.counter.count(steer.ReasonRouteRemoved) >= 1 }, conditionTimeout, time.Millisecond)
+	require.Zero(t, fixture.counter.count(steer.ReasonNoRoute))
+	fixture.table.Confirm(time.Now())
+	require.Equal(t, packetOf(kindReset, caller, servicePort, 0), fixture.receive(fixture.caller))
+	data := packetOf(kindData, caller, 99, 7)
+	fixture.send(data)
+	require.Equal(t, append([]byte{0, 0, 0, 7}, data...), fixture.receive(fixture.target))
+}
+
 // TestFlowsAreRefusedWhileTheLinkIsFull: a new flow is reset at once and not forwarded to any target.
 // Packets of open flows are still forwarded, and so is a copy of an opening packet that was forwarded
 // before, because its flow may have opened.
@@ -369,15 +387,15 @@
 	segment := func(port int, opening bool) steer.Segment {
 		return steer.Segment{Caller: loopback(uint16(port)), Service: loopback(servicePort), Opening: opening}
 	}
-	parking.put([]byte{1}, segment(1, true), start)
-	parking.put([]byte{2}, segment(2, true), start.Add(parkingTimeout/2))
-	parking.put([]byte{3}, segment(1, true), start.Add(parkingTimeout/2))
+	parking.put([]byte{1}, segment(1, true), steer.ReasonNoTable, start)
+	parking.put([]byte{2}, segment(2, true), steer.ReasonNoTable, start.Add(parkingTimeout/2))
+	parking.put([]byte{3}, segment(1, true), steer.ReasonNoTable, start.Add(parkingTimeout/2))
 	kept := parking.take(start.Add(parkingTimeout + time.Millisecond))
 	require.Len(t, kept, 2)
 	require.Equal(t, []byte{3}, kept[0].packet, "the latest copy is kept")
 	require.Empty(t, parking.take(start))
 	for port := range 2 * maxParkedPackets {
-		parking.put([]byte{4}, segment(port, port%2 == 0), start)
+		parking.put([]byte{4}, segment(port, port%2 == 0), steer.ReasonNoTable, start)
 	}
 	require.Len(t, parking.take(start), maxParkedPackets)
 }
--- a/internal/direct/forwarder/parking.go
+++ b/internal/direct/forwarder/parking.go
@@ -22,11 +22,10 @@
 	service netip.AddrPort
 }
 
-// parkedPacket is a packet for which the table had no target when it arrived.
+// parkedPacket is a packet for which the table had no target when it arrived, at segment.WaitingSince.
 type parkedPacket struct {
-	packet   []byte
-	segment  steer.Segment
-	parkedAt time.Time
+	packet  []byte
+	segment steer.Segment
 }
 
 // parking holds packets for which the table had no target, because no table was received yet or
@@ -38,6 +37,8 @@
 	packets []parkedPacket
 	// openings maps a flow to the index of its opening packet in packets.
 	openings map[flowKey]int
+	// awaitsConfirmation is set while a packet waits for a confirmation of the table.
+	awaitsConfirmation bool
 }
 
 func newParking() *parking { return &parking{openings: make(map[flowKey]int)} }
@@ -46,19 +47,24 @@
 // changed table.
 func shouldPark(reason steer.Reason) bool {
 	switch reason {
-	case steer.ReasonNoTable, steer.ReasonUnknownToken, steer.ReasonNoRouteStale, steer.ReasonNoTarget, steer.ReasonEvacuated:
+	case steer.ReasonNoTable, steer.ReasonUnknownToken, steer.ReasonNoRouteStale, steer.ReasonNoTarget, steer.ReasonEvacuated,
+		steer.ReasonRouteRemoved:
 		return true
 	default:
 		return false
 	}
 }
 
-// put stores a copy of the packet. It discards the packet when maxParkedPackets are stored, unless the
-// packet replaces an earlier copy of the same opening packet.
-func (parking *parking) put(packet []byte, segment steer.Segment, now time.Time) {
+// put stores a copy of the packet, which was dropped for the reason. It discards the packet when
+// maxParkedPackets are stored, unless the packet replaces an earlier copy of the same opening packet.
+func (parking *parking) put(packet []byte, segment steer.Segment, reason steer.Reason, now time.Time) {
 	parking.lock.Lock()
 	defer parking.lock.Unlock()
-	parked := parkedPacket{packet: append([]byte(nil), packet...), segment: segment, parkedAt: now}
+	if segment.WaitingSince.IsZero() {
+		segment.WaitingSince = now
+	}
+	parked := parkedPacket{packet: append([]byte(nil), packet...), segment: segment}
+	parking.awaitsConfirmation = parking.awaitsConfirmation || reason == steer.ReasonRouteRemoved
 	key := flowKey{caller: segment.Caller, service: segment.Service}
 	if index, exists := parking.openings[key]; exists && segment.Opening {
 		parking.packets[index] = parked
@@ -73,6 +79,13 @@
 	parking.packets = append(parking.packets, parked)
 }
 
+// hasUnconfirmed reports whether a packet waits for a confirmation of the table.
+func (parking *parking) hasUnconfirmed() bool {
+	parking.lock.Lock()
+	defer parking.lock.Unlock()
+	return parking.awaitsConfirmation
+}
+
 // take removes all packets and returns those that have not timed out.
 func (parking *parking) take(now time.Time) []parkedPacket {
 	parking.lock.Lock()
@@ -82,10 +95,11 @@
 	}
 	packets := parking.packets
 	parking.packets = nil
+	parking.awaitsConfirmation = false
 	clear(parking.openings)
 	fresh := packets[:0]
 	for _, parked := range packets {
-		if now.Sub(parked.parkedAt) < parkingTimeout {
+		if now.Sub(parked.segment.WaitingSince) < parkingTimeout {
 			fresh = append(fresh, parked)
 		}
 	}
--- a/internal/direct/steer/apply.go
+++ b/internal/direct/steer/apply.go
@@ -11,7 +11,7 @@
 // applySnapshot replaces the table by a full snapshot of the directory. What this balancer
 // recorded about targets that are in both is kept.
 func (table *Table) applySnapshot(changes directory.Changes, now time.Time) {
-	previous := table.targets
+	previous, previousRoutes := table.targets, table.routes
 	first := table.revision == 0
 	table.routes = make(map[netip.AddrPort]route, len(changes.Routes))
 	table.targets = make(map[directory.Token]*targetRecord, len(changes.Targets))
@@ -25,6 +25,11 @@
 	table.applyEvacuations(changes.Zones)
 	table.coldLimits.apply(changes.ColdLimits)
 	table.applyRoutes(changes.Routes)
+	for address := range previousRoutes {
+		if _, stays := table.routes[address]; !stays {
+			table.removedRoutes.add(address)
+		}
+	}
 	table.applyTargets(changes.Targets, now, first)
 	table.rebuildServices()
 }
@@ -55,6 +60,7 @@
 func (table *Table) applyDelta(changes directory.Changes, now time.Time) {
 	for _, address := range changes.Removed {
 		delete(table.routes, address)
+		table.removedRoutes.add(address)
 	}
 	table.applyRoutes(changes.Routes)
 	if changes.Zones == nil && changes.ColdLimits == nil && slices.Equal(table.regionSets, table.routeRegionSets()) {
@@ -106,6 +112,7 @@
 			added.totalWeight += part.Weight
 		}
 		table.routes[entry.Address] = added
+		table.removedRoutes.delete(entry.Address)
 	}
 }
 
--- a/internal/direct/steer/decide.go
+++ b/internal/direct/steer/decide.go
@@ -36,13 +36,16 @@
 		return Decision{Reason: ReasonNoTable}
 	}
 	route, exists := table.routes[segment.Service]
-	if !exists {
+	switch {
+	case !exists && !segment.Opening && segment.Token != 0:
+		return table.decideFlowWithoutRoute(segment, now)
+	case !exists:
 		return table.refuseUnknownRoute(segment, now)
-	}
-	if segment.Opening {
+	case segment.Opening:
 		return table.openFlow(segment, route, now)
+	default:
+		return table.decideOpenFlow(segment)
 	}
-	return table.decideOpenFlow(segment)
 }
 
 // refuseUnknownRoute decides about a packet whose address has no route. A balancer with a stale
@@ -54,6 +57,25 @@
 	return resetUnlessAbort(segment, ReasonNoRoute)
 }
 
+// decideFlowWithoutRoute decides about a packet of an open flow whose address has no route. The
+// flow's token shows that another balancer has, or had, the route. If this balancer never had it,
+// the route is newer than its table, and the flow's owner gets the packet. If the route was removed,
+// the flow is reset once the table was confirmed after the packet arrived; until then the route may
+// have been declared again without this balancer's knowledge.
+func (table *Table) decideFlowWithoutRoute(segment Segment, now time.Time) Decision {
+	if !table.removedRoutes.contains(segment.Service) {
+		return table.decideOpenFlow(segment)
+	}
+	arrivedAt := segment.WaitingSince
+	if arrivedAt.IsZero() {
+		arrivedAt = now
+	}
+	if !table.confirmedAt.After(arrivedAt) {
+		return Decision{Reason: ReasonRouteRemoved}
+	}
+	return table.refuseUnknownRoute(segment, now)
+}
+
 // resetUnlessAbort returns the decision that answers a packet with a reset, or drops it if it is
 // itself an abort.
 func resetUnlessAbort(segment Segment, reason Reason) Decision {
--- a/internal/direct/steer/segment.go
+++ b/internal/direct/steer/segment.go
@@ -34,6 +34,9 @@
 	// AlreadyForwarded reports whether this balancer forwarded an earlier attempt of an
 	// opening packet, so that the flow may have opened meanwhile.
 	AlreadyForwarded bool
+	// WaitingSince is when a packet arrived that waits at this balancer and is now decided about
+	// again; zero for a packet that has just arrived.
+	WaitingSince time.Time
 	// Abort reports whether the packet itself ends its flow at once. Such a packet is never
 	// answered.
 	Abort bool
@@ -110,13 +113,16 @@
 	// ReasonRestarted: the flow's target restarted at the same address. The target itself
 	// resets flows that it no longer has.
 	ReasonRestarted
+	// ReasonRouteRemoved: the route of an open flow was removed, but the table was not confirmed
+	// as current since the packet arrived, so that the route may have been declared again.
+	ReasonRouteRemoved
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"chosen", "owner", "no_table", "no_route", "no_route_stale", "no_target",
 	"unknown_token", "target_failed", "missing_token", "overloaded", "link_full",
-	"evacuated", "cold", "no_home", "restarted",
+	"evacuated", "cold", "no_home", "restarted", "route_removed",
 }
 
 // String returns the reason's stable name.
--- a/internal/direct/steer/table.go
+++ b/internal/direct/steer/table.go
@@ -101,7 +101,9 @@
 	servingSince time.Time
 	idleTimeout  time.Duration
 	routes       map[netip.AddrPort]route
-	targets      map[directory.Token]*targetRecord
+	// removedRoutes has the routes that the table had and has no more.
+	removedRoutes removedRoutes
+	targets       map[directory.Token]*targetRecord
 	// latestByID holds the latest incarnation of each target, so that looking up the target
 	// of a renewal does not scan all targets.
 	latestByID map[directory.TargetID]*targetRecord
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -55,6 +55,8 @@
 		return "All targets of the service are in zones that operators evacuated, and the balancer's table was not confirmed recently, so it sent no reset."
 	case "no_target":
 		return "No target of the pool accepted new flows."
+	case "route_removed":
+		return "The flow's route was removed, and the balancer waited for a confirmation of its table before it sent a reset."
 	case "no_route_stale":
 		return "The balancer had no route for the address, and its table was not confirmed recently, so it sent no reset."
 	default:
