A departure is not forgotten before the target is known

Cause: its heartbeats had been held back on their way, so the notice to leave named an identifier without a record. Directory.markLeft returned without a trace, and the heartbeat that came later registered the target as ready.

Evidence: "target leaves" without an error, seconds before "target registered" of the same identifier, and the code of markLeft.

Why it works: the acknowledgement of the notice is a commit, so every member knows of it before any late registration is applied.

--- a/internal/direct/directory/apply.go
+++ b/internal/direct/directory/apply.go
@@ -17,11 +17,12 @@
 
 // Apply implements replica.StateMachine. A command that cannot be decoded changes nothing but the
 // revision, on every member alike.
-func (directory *Directory) Apply(index model.Revision, _ time.Time, data []byte) []byte {
+func (directory *Directory) Apply(index model.Revision, at time.Time, data []byte) []byte {
 	command, err := decodeCommand(data)
 	directory.lock.Lock()
 	defer directory.lock.Unlock()
 	directory.revision = index
+	directory.appliedAt = at
 	var result Result
 	if err == nil {
 		result = directory.execute(command)
@@ -112,15 +113,17 @@
 // register adds an incarnation or moves its state forward. An incarnation with a later start
 // replaces the recorded one, which is marked as failed because its process and its flows are lost.
 // A failed target stays failed, because a renewal may arrive long after it was sent. The state
-// that the renewal reports takes effect once the target is found alive. A call of another writer
-// changes nothing.
+// that the renewal reports takes effect once the target is found alive. A call of another writer, or
+// of an incarnation that has left, changes nothing.
 func (directory *Directory) register(reported Target) Result {
 	target, known := directory.targets.byID[reported.ID]
-	if !known {
-		return directory.addIncarnation(reported)
-	}
-	if directory.isForeign(target, reported) {
+	switch {
+	case known && (directory.isForeign(target, reported) || directory.departures.covers(reported, directory.appliedAt)):
 		return Result{Token: target.Token}
+	case directory.departures.covers(reported, directory.appliedAt):
+		return Result{}
+	case !known:
+		return directory.addIncarnation(reported)
 	}
 	if target.startedBefore(reported) {
 		directory.markFailed(target)
@@ -226,10 +229,16 @@
 }
 
 // markLeft records that a target leaves, unless the notice is from another start. A failed target
-// stays failed, and becomes TargetLeft if it recovers.
+// stays failed, and becomes TargetLeft if it recovers. The notice of an incarnation that has no record
+// is kept: its registrations may have been held back.
 func (directory *Directory) markLeft(departure *Departure) {
 	target, known := directory.targets.byID[departure.ID]
-	if !known || (departure.Started != 0 && departure.Started != target.Started) {
+	unrecorded := !known || target.State == TargetFailed && departure.Started > target.Started
+	switch {
+	case unrecorded:
+		directory.departures.add(departure, directory.appliedAt)
+		return
+	case departure.Started != 0 && departure.Started != target.Started:
 		return
 	}
 	switch {
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -133,6 +133,10 @@
 	coldLimits map[string]declared.ColdLimit
 	// evacuations are the zones that operators evacuated.
 	evacuations evacuations
+	// departures are those of incarnations without a record.
+	departures departures
+	// appliedAt is the log time of the latest applied command.
+	appliedAt time.Time
 }
 
 // targetTombstone records the revision at which a target was removed.
@@ -162,6 +166,8 @@
 	directory.nextToken = 1
 	directory.coldLimits = make(map[string]declared.ColdLimit)
 	directory.evacuations = newEvacuations()
+	directory.departures = newDepartures()
+	directory.appliedAt = time.Time{}
 }
 
 // Revision returns the revision of the latest applied command.
@@ -228,6 +234,14 @@
 	return Target{}, false
 }
 
+// HasLeft reports whether the reporting incarnation left before it was registered, so that its
+// registration arrived late and changes nothing.
+func (directory *Directory) HasLeft(reported Target) bool {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	return directory.departures.covers(reported, directory.appliedAt)
+}
+
 // IsForeign reports whether a call under the identifier of a registered target comes from another
 // writer. Such a call changes nothing.
 func (directory *Directory) IsForeign(reported Target) bool {
--- a/internal/direct/directory/snapshot.go
+++ b/internal/direct/directory/snapshot.go
@@ -21,6 +21,8 @@
 	// which had no evacuations.
 	Evacuations   []Evacuation
 	EvacuationsAt model.Revision
+	// Departures are missing in snapshots of earlier versions of the program, too.
+	Departures []keptDeparture
 }
 
 // Snapshot implements replica.StateMachine.
@@ -41,6 +43,7 @@
 		NextToken:       directory.nextToken,
 		Evacuations:     directory.evacuations.list(),
 		EvacuationsAt:   directory.evacuations.changedAt,
+		Departures:      directory.departures.list(),
 	}
 	for _, target := range directory.targets.byToken {
 		saved.Targets = append(saved.Targets, *target)
@@ -72,6 +75,7 @@
 	}
 	directory.targets.restore(saved.Targets)
 	directory.evacuations.restore(saved.Evacuations, saved.EvacuationsAt)
+	directory.departures.restore(saved.Departures)
 	return nil
 }
 
--- a/internal/direct/registrar/registrar.go
+++ b/internal/direct/registrar/registrar.go
@@ -91,6 +91,10 @@
 		done(faults.New(faults.RegistrationInvalid, "started: %d, but the target restarted at %d", target.Started, current.Started))
 		return
 	}
+	if registrar.directory.HasLeft(target) {
+		done(faults.New(faults.RegistrationInvalid, "id: the target has left"))
+		return
+	}
 	if registrar.directory.IsForeign(target) {
 		done(faults.New(faults.RegistrationInvalid, "service: %q is not declared, and the target belongs to %q", target.Service, current.Service))
 		return
--- a/internal/direct/registrar/restart_test.go
+++ b/internal/direct/registrar/restart_test.go
@@ -94,3 +94,18 @@
 	}
 	require.Equal(t, directory.TargetFailed, harness.targetState(1), "foreign calls do not count as renewals")
 }
+
+// TestLateCallsOfDepartedTargetsAreRefused checks that a registration which arrives after the departure
+// of a target without a record is refused, and that a later start is accepted.
+func TestLateCallsOfDepartedTargetsAreRefused(t *testing.T) {
+	harness := newHarness(t)
+	late := readyTarget(1, 1)
+	late.Started = 100
+	harness.registrar.Leave(harness.now, directory.Departure{ID: 1, Started: 100}, harness.now.Add(time.Second), func(err error) { require.NoError(t, err) })
+	harness.run(time.Second)
+	require.Equal(t, faults.RegistrationInvalid, faults.CodeOf(harness.register(late)))
+	require.Empty(t, harness.group.directory.Targets())
+	late.Started = 200
+	require.NoError(t, harness.register(late))
+	require.Equal(t, directory.TargetReady, harness.targetState(1))
+}
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -64,6 +64,11 @@
 		summary: "first calls of targets that ended unheard, and calls of other writers, name the addresses and identifiers of living targets; targets are replaced meanwhile",
 		play:    foreignCalls,
 	},
+	{
+		name:    "direct-unheard-targets",
+		summary: "targets start, their first calls are held back, and arrive after their departure was acknowledged; the leader changes meanwhile",
+		play:    unheardTargets,
+	},
 	{
 		name:    "direct-restarted-targets",
 		summary: "targets crash and start again with the same identifiers while renewals of their previous starts arrive seconds late",
@@ -293,6 +298,24 @@
 	}
 }
 
+// unheardTargets starts targets whose first calls arrive after they have left. In every second round
+// the leader is killed meanwhile.
+func unheardTargets(world *World) {
+	for round := range 5 {
+		for range 3 {
+			zone := kernel.Pick(world.random, zones)
+			leaveAfter := world.random.Between(time.Second, 4*time.Second)
+			world.startUnheardTarget(serviceFeed, zone, leaveAfter, leaveAfter+world.random.Between(500*time.Millisecond, 2*time.Second))
+		}
+		if leader := world.leader(); leader != nil && round%2 == 1 {
+			world.RunFor(4 * time.Second)
+			leader.Kill()
+			world.after(2*time.Second, leader.Start)
+		}
+		world.RunFor(10 * time.Second)
+	}
+}
+
 // foreignCalls sends calls that name the address of a living target: the first call of a target that
 // ended before the living one started, with or without its start; and calls of another writer, some
 // of them under the target's identifier. A target crashes meanwhile, and another one takes its address.
--- a/internal/sim/directworld/target.go
+++ b/internal/sim/directworld/target.go
@@ -50,9 +50,13 @@
 
 // AddTarget starts a target of a service at a new address.
 func (world *World) AddTarget(service string, zone model.ZoneName) *target {
+	return world.addTargetAt(service, zone, world.newTargetAddress())
+}
+
+// newTargetAddress returns an address that no target had.
+func (world *World) newTargetAddress() netip.AddrPort {
 	world.nextHost++
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 128, byte(world.nextHost >> 8), byte(world.nextHost)}), 8080)
-	return world.addTargetAt(service, zone, address)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 128, byte(world.nextHost >> 8), byte(world.nextHost)}), 8080)
 }
 
 // addTargetAt starts a target with a new identifier at an address, which may have been used before.
@@ -74,6 +78,21 @@
 }
 
 func (world *World) startTarget(id directory.TargetID, service string, zone model.ZoneName, address netip.AddrPort) *target {
+	added := world.newTarget(id, service, zone, address)
+	world.after(world.random.Between(0, renewalInterval/4), added.renewPeriodically)
+	return added
+}
+
+// startUnheardTarget starts a target whose first call is held back for a delay. It leaves before that,
+// and its departure is not held back.
+func (world *World) startUnheardTarget(service string, zone model.ZoneName, leaveAfter, delay time.Duration) {
+	added := world.newTarget(world.newTargetID(), service, zone, world.newTargetAddress())
+	added.scheduleLateRenewal(delay)
+	world.after(leaveAfter, added.LeaveWithoutDraining)
+}
+
+// newTarget adds a target that makes no calls yet.
+func (world *World) newTarget(id directory.TargetID, service string, zone model.ZoneName, address netip.AddrPort) *target {
 	added := &target{
 		world:        world,
 		id:           id,
@@ -90,7 +109,6 @@
 	}
 	world.targets = append(world.targets, added)
 	world.byAddress[address] = added
-	world.after(world.random.Between(0, renewalInterval/4), added.renewPeriodically)
 	return added
 }
 
