reconfigure: log a reason only where no change follows, and keep the wait private

"no membership change for learners" came also right before the change that gave one of them its vote. It is now logged where Plan returns no change. The check whether a leaving member waits is a step of the planner like the others, and the invariant says which votes move in which order.

--- a/internal/reconfigure/plan.go
+++ b/internal/reconfigure/plan.go
@@ -56,10 +56,8 @@
 	switch {
 	case counts.Learners == 0:
 		return ""
-	case counts.Voters < plan.wantedVoters() && counts.ReadyLearners == 0:
-		return "no learner responds and has caught up"
 	case counts.Voters < plan.wantedVoters():
-		return "a learner is about to get a vote"
+		return "no learner responds and has caught up"
 	case counts.ResponsiveVoters <= counts.Voters/2:
 		return "too few voters respond to change the membership"
 	case counts.ResponsiveVoters < counts.Voters:
--- a/internal/reconfigure/reconfigure.go
+++ b/internal/reconfigure/reconfigure.go
@@ -8,8 +8,8 @@
 //   - one membership change at a time, and only by a confirmed leader;
 //   - a voter loses its vote only if the other voters that respond are a majority of the voters
 //     after the change;
-//   - a vote moves in two changes, of which the first promotes the learner, so that the group never
-//     has fewer voters than before;
+//   - a voter that responds loses its vote only after a learner was promoted in its place, so that the
+//     group tolerates as many losses as before all the time;
 //   - a voter that is unresponsive, but whose disk is not known to be lost, is removed only if a
 //     learner that has caught up can replace it at once, or the group has more voters than it wants.
 package reconfigure
@@ -107,17 +107,19 @@
 	if controller.pending(now) {
 		return
 	}
-	controller.logStandby(status, now)
 	change := Plan(controller.options, status, now)
-	if change.Kind != ChangeNone {
-		controller.propose(now, change)
+	if change.Kind == ChangeNone {
+		controller.logStandby(status, now)
+		return
 	}
+	controller.propose(now, change)
 }
 
 // releaseLeaving releases the leaving members whose votes nobody will take over.
 func (controller *Controller) releaseLeaving(status replica.Status, now time.Time) {
 	for _, id := range status.Leaving {
-		if !AwaitsReplacement(controller.options, status, now, id) {
+		plan := planner{options: controller.options, status: status, now: now}
+		if !plan.awaitsReplacement(id) {
 			controller.group.Release(id)
 		}
 	}
--- a/internal/reconfigure/votes.go
+++ b/internal/reconfigure/votes.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/raft"
@@ -92,18 +91,17 @@
 	return change
 }
 
-// AwaitsReplacement reports whether the leaving member has a vote that another member can take over,
+// awaitsReplacement reports whether the leaving member has a vote that another member can take over,
 // so that it should not stop yet.
-func AwaitsReplacement(options Options, status replica.Status, now time.Time, id replica.MemberID) bool {
-	plan := planner{options: options, status: status, now: now}
-	committed := slices.IndexFunc(status.Members, func(member replica.Member) bool { return member.ID == id })
-	if committed < 0 || status.Members[committed].Learner {
+func (plan *planner) awaitsReplacement(id replica.MemberID) bool {
+	committed := slices.IndexFunc(plan.status.Members, func(member replica.Member) bool { return member.ID == id })
+	if committed < 0 || plan.status.Members[committed].Learner {
 		return false
 	}
 	if plan.stayingVoters() >= plan.wantedVoters() {
 		return true
 	}
-	return slices.ContainsFunc(status.Peers, func(peer raft.Peer) bool {
+	return slices.ContainsFunc(plan.status.Peers, func(peer raft.Peer) bool {
 		demoted := peer.ID == id
 		replacement := !plan.leaving(peer.ID) && plan.timeSinceAnswer(peer) < responsiveWithin
 		return peer.Learner && (demoted || replacement)
--- a/internal/reconfigure/votes_test.go
+++ b/internal/reconfigure/votes_test.go
@@ -46,7 +46,8 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			require.Equal(t, test.want, AwaitsReplacement(DefaultOptions(1), statusOf(test.peers, test.leaving...), now, 3))
+			plan := planner{options: DefaultOptions(1), status: statusOf(test.peers, test.leaving...), now: now}
+			require.Equal(t, test.want, plan.awaitsReplacement(3))
 		})
 	}
 }
@@ -56,7 +57,8 @@
 func TestDemotionIsAwaitedUntilItIsCommitted(t *testing.T) {
 	status := statusOf([]raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c", learner), peer(4, "d")}, 3)
 	status.Members[2].Learner = false
-	require.True(t, AwaitsReplacement(DefaultOptions(1), status, now, 3))
+	plan := planner{options: DefaultOptions(1), status: status, now: now}
+	require.True(t, plan.awaitsReplacement(3))
 }
 
 // randomStatus returns the status of a leader of a group of three or more members, of which a
