--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -335,19 +335,27 @@
 	}
 }
 
+const (
+	// otherStart is the difference between the start of a living target and the one that a foreign
+	// call tells, in milliseconds.
+	otherStart directory.StartTime = 5000
+	// undeclaredService is a service that no configuration declares.
+	undeclaredService = "nobody"
+)
+
 // sendForeignCall sends a registration of the given kind that a living target did not send.
 func (world *World) sendForeignCall(victim *target, kind int) {
 	call := victim.registration()
-	call.Sequence += 7
+	call.Sequence += 7 // above those of the target's next calls
 	switch kind {
 	case 0: // the late first call of an earlier target
-		call.ID, call.Started = world.newTargetID(), victim.started-5000
+		call.ID, call.Started = world.newTargetID(), victim.started-otherStart
 	case 1: // the same from a target that does not tell its start
 		call.ID, call.Started = world.newTargetID(), 0
 	case 2: // another writer
-		call.ID, call.Service, call.Started = world.newTargetID(), "nobody", victim.started+5000
+		call.ID, call.Service, call.Started = world.newTargetID(), undeclaredService, victim.started+otherStart
 	default: // another writer under the target's identifier
-		call.Service, call.Started = "nobody", victim.started+5000
+		call.Service, call.Started = undeclaredService, victim.started+otherStart
 	}
 	world.run.Trace.Add(victim.address.String(), "foreign call", "")
 	world.sendRegistration(victim, call)
--- a/internal/sim/directworld/stories_control.go
+++ b/internal/sim/directworld/stories_control.go
@@ -164,13 +164,13 @@
 // once their successors, which are in the same zones, have caught up; or one of them ends without
 // notice earlier, and the others stop as planned.
 func (world *World) endForGood(members []*Member, sameZone bool) {
-	end := func(delay time.Duration, member *Member, end func()) {
+	endAfter := func(delay time.Duration, member *Member, end func()) {
 		world.after(delay, func() {
 			member.delisted = true
 			end()
 		})
 	}
-	first := members[0].Stop
+	endFirst := members[0].Stop
 	tolerantAfter := catchUpTime
 	switch world.random.IntN(3) {
 	case 0:
@@ -183,13 +183,13 @@
 			return
 		}
 	case 1:
-		first = members[0].Kill
+		endFirst = members[0].Kill
 		tolerantAfter = time.Second + silentVoterTime
 	}
-	end(world.random.Between(0, time.Second), members[0], first)
+	endAfter(world.random.Between(0, time.Second), members[0], endFirst)
 	for _, member := range members[1:] {
 		delay := world.random.Between(0, 5*time.Second)
-		end(delay, member, member.Stop)
+		endAfter(delay, member, member.Stop)
 		tolerantAfter = max(tolerantAfter, delay+leaveTimeout)
 	}
 	world.RunFor(tolerantAfter)
