--- /dev/null
+++ b/review/drill/cases.go
@@ -0,0 +1,267 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"reflect"
+	"strings"
+	"time"
+)
+
+const (
+	// drainBound, touchBound and flowLimit are drain-ms, contact-ms and flow-max-s of the site
+	// glenbraan-edge-grown.
+	drainBound = 4000 * time.Millisecond
+	touchBound = 5000 * time.Millisecond
+	flowLimit  = 60 * time.Second
+)
+
+// startService declares the service, starts its targets, waits until the balancers are ready and then
+// for a while, so that all machines are in touch.
+func startService(options caseOptions, count int) ([]*target, *client, error) {
+	fleet := options.fleet
+	if err := fleet.putConfig(fleet.config(1, nil)); err != nil {
+		return nil, nil, err
+	}
+	var targets []*target
+	for index := range count {
+		target, err := fleet.startTarget(0x7f3a9100+uint64(index), byte(150+index), zoneNames[index%len(zoneNames)])
+		if err != nil {
+			return nil, nil, err
+		}
+		targets = append(targets, target)
+		go target.beat()
+	}
+	if err := fleet.awaitReady(); err != nil {
+		return nil, nil, err
+	}
+	client, err := fleet.startClient(200)
+	if err != nil {
+		return nil, nil, err
+	}
+	time.Sleep(touchBound + 2*time.Second)
+	return targets, client, nil
+}
+
+// longFlow is a flow that carries a request every now and then.
+type longFlow struct {
+	flow   *clientFlow
+	owner  string
+	opened time.Time
+	// failure is the reason why the flow ended; nil while it is open.
+	failure  error
+	failedAt time.Time
+	served   int
+}
+
+const longFlows = 24
+
+// leavingAddress is the case of an entry of another writer that names the address of a target that
+// leaves.
+func leavingAddress(options caseOptions) (verdict, error) {
+	targets, client, err := startService(options, 4)
+	if err != nil {
+		return verdict{}, err
+	}
+	flows, err := openLongFlows(options, client)
+	if err != nil {
+		return verdict{}, err
+	}
+	done := make(chan *longFlow, len(flows))
+	stop := time.Now().Add(16 * time.Second)
+	for index, flow := range flows {
+		go func() {
+			flow.use(options.record, fmt.Sprintf("f-%02d", index), stop)
+			done <- flow
+		}()
+	}
+	leaver := targets[3]
+	time.Sleep(3 * time.Second)
+	if _, err := leaver.leave(); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if options.trouble {
+		sendForeignEntry(options, leaver)
+	}
+	for range flows {
+		<-done
+	}
+	broken, atLeaver, served := 0, 0, 0
+	for _, flow := range flows {
+		served += flow.served
+		if flow.owner == leaver.id {
+			atLeaver++
+		}
+		owner := find(targets, flow.owner)
+		if errors.Is(flow.failure, errSystemReset) && owner != nil && !owner.didReset(flow.flow.from) && flow.failedAt.Sub(flow.opened) < flowLimit {
+			broken++
+			options.record.line("FLOW: the flow of %s opened at %s, which lives and did not reset it, and was reset by the system", flow.flow.from, flow.owner)
+		}
+	}
+	leaver.end("it served on after its notice")
+	if atLeaver == 0 || served == 0 {
+		return verdict{}, fmt.Errorf("%d flows opened at the leaving target, and %d requests were served", atLeaver, served)
+	}
+	return verdict{broken: broken > 0, text: fmt.Sprintf("FLOW: %d of %d open flows at the leaving target were reset by the system, which the target did not do; %d requests served on %d flows", broken, atLeaver, served, len(flows))}, nil
+}
+
+// sendForeignEntry sends an entry of another writer: it has an id and a service of its own that no
+// configuration names, and the address of the machine on which the leaving target runs.
+func sendForeignEntry(options caseOptions, leaver *target) {
+	body, _ := json.Marshal(map[string]any{
+		"service": undeclaredName, "address": leaver.address.String(), "zone": leaver.zone, "version": "v1",
+		"capacity": 2, "state": "ready", "cold-remaining-ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+	})
+	status, answer, err := call(http.MethodPut, options.fleet.members[0].at(controlPort), "/instances/w-00c0ffee", body)
+	options.record.line("another writer: PUT /instances/w-00c0ffee: status %d, error %v, answer %s; sent %s", status, err, strings.TrimSpace(string(answer)), body)
+}
+
+func openLongFlows(options caseOptions, client *client) ([]*longFlow, error) {
+	var flows []*longFlow
+	for index := range longFlows {
+		flow, err := client.open()
+		if err != nil {
+			return nil, fmt.Errorf("flow %d: %w", index, err)
+		}
+		answer, err := flow.exchange(fmt.Sprintf("f-%02d-0", index), 3*time.Second)
+		if err != nil {
+			return nil, fmt.Errorf("flow %d: %w", index, err)
+		}
+		flows = append(flows, &longFlow{flow: flow, owner: lastLine(answer), opened: time.Now(), served: 1})
+		options.record.line("client: flow %d from %s opened at %s", index, flow.from, lastLine(answer))
+	}
+	return flows, nil
+}
+
+// use sends a request every 400 ms until a time, or until the flow ends.
+func (long *longFlow) use(record *record, name string, stop time.Time) {
+	for number := 1; time.Now().Before(stop); number++ {
+		time.Sleep(400 * time.Millisecond)
+		if _, err := long.flow.exchange(fmt.Sprintf("%s-%d", name, number), 3*time.Second); err != nil {
+			long.failure, long.failedAt = err, time.Now()
+			record.line("client: request %s-%d on the flow from %s at %s: %v", name, number, long.flow.from, long.owner, err)
+			return
+		}
+		long.served++
+	}
+	long.flow.close()
+}
+
+func find(targets []*target, id string) *target {
+	for _, target := range targets {
+		if target.id == id {
+			return target
+		}
+	}
+	return nil
+}
+
+// restartedLeaver is the case of a target that restarts under its former id and sends its notice that
+// it leaves while its first heartbeat is late.
+func restartedLeaver(options caseOptions) (verdict, error) {
+	targets, client, err := startService(options, 4)
+	if err != nil {
+		return verdict{}, err
+	}
+	stop := make(chan struct{})
+	load := client.startLoad(30, stop)
+	time.Sleep(3 * time.Second)
+	former := targets[3]
+	former.end("crash")
+	time.Sleep(100 * time.Millisecond)
+	restarted, err := options.fleet.startTarget(former.number, 153, former.zone)
+	if err != nil {
+		return verdict{}, err
+	}
+	late := make(chan struct{})
+	if options.trouble {
+		go restarted.beatLate(heartbeatDelay, late)
+	} else {
+		close(late)
+		if !restarted.beatOnce() {
+			return verdict{}, errors.New("the restarted target's heartbeat was not acknowledged")
+		}
+	}
+	time.Sleep(600 * time.Millisecond)
+	acknowledged, err := restarted.leave()
+	if err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(drainBound + 5*time.Second)
+	close(stop)
+	load.waiting.Wait()
+	<-late
+	served := len(restarted.openingsAfter(time.Time{}))
+	after := restarted.openingsAfter(acknowledged.Add(drainBound))
+	for _, opening := range after {
+		options.record.line("DRAIN: target %s took a flow of %s %d ms after the acknowledgement that it leaves", restarted.id, opening.caller, opening.at.Sub(acknowledged).Milliseconds())
+	}
+	restarted.end("it served on after its notice")
+	if load.answered == 0 {
+		return verdict{}, errors.New("no request was answered")
+	}
+	return verdict{broken: len(after) > 0, text: fmt.Sprintf("DRAIN: %d of the %d flows that the restarted target took arrived later than %s after the acknowledgement that it leaves; %s", len(after), served, drainBound, load.summary())}, nil
+}
+
+// heartbeatDelay is how late the first heartbeat of the restarted target comes.
+const heartbeatDelay = 3 * time.Second
+
+// beatLate sends the first heartbeat, which reaches the member after a delay.
+func (target *target) beatLate(delay time.Duration, done chan<- struct{}) {
+	body := target.body()
+	target.fleet.record.line("target %s: heartbeat 1 is on its way and late: %s", target.id, body)
+	time.Sleep(delay)
+	status, answer, err := call(http.MethodPut, target.fleet.members[0].at(controlPort), "/instances/"+target.id, body)
+	target.fleet.record.line("target %s: heartbeat 1 arrives %s late: status %d, error %v, answer %s", target.id, delay, status, err, strings.TrimSpace(string(answer)))
+	close(done)
+}
+
+// fractionalSeconds is the case of a change of the configuration to a cold start of a fractional
+// number of seconds.
+func fractionalSeconds(options caseOptions) (verdict, error) {
+	fleet := options.fleet
+	sent := fleet.config(7, map[string]any{"cold-start-s": 2.0, "cold-per-s": 8.0})
+	if err := fleet.putConfig(sent); err != nil {
+		return verdict{}, err
+	}
+	if options.trouble {
+		sent = fleet.config(12, map[string]any{"cold-start-s": 4.1, "cold-per-s": 8.0})
+		if err := fleet.putConfig(sent); err != nil {
+			return verdict{}, err
+		}
+	}
+	time.Sleep(touchBound)
+	differing, read := 0, 0
+	for _, member := range fleet.members {
+		status, answer, err := call(http.MethodGet, member.at(controlPort), "/config", nil)
+		options.record.line("operator: GET /config at %s: status %d, error %v, answer %s", member.address, status, err, strings.TrimSpace(string(answer)))
+		if err != nil || status != http.StatusOK {
+			continue
+		}
+		read++
+		if !sameJSON(sent, answer) {
+			differing++
+			options.record.line("CONFIG: what is read back differs from what was sent under its number")
+		}
+	}
+	if read == 0 {
+		return verdict{}, errors.New("the configuration was not read")
+	}
+	return verdict{broken: differing > 0, text: fmt.Sprintf("CONFIG: %d of %d reads differ from the configuration that was acknowledged under the number read", differing, read)}, nil
+}
+
+// sameJSON reports whether an answer has the same values as a configuration.
+func sameJSON(sent map[string]any, answer []byte) bool {
+	body, err := json.Marshal(sent)
+	if err != nil {
+		return false
+	}
+	var expected, found any
+	if json.Unmarshal(body, &expected) != nil || json.Unmarshal(answer, &found) != nil {
+		return false
+	}
+	return reflect.DeepEqual(expected, found)
+}
--- /dev/null
+++ b/review/drill/fleet.go
@@ -0,0 +1,309 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// The ports of every machine, as in the settings on the users' DEPLOY page.
+const (
+	controlPort   = 8166
+	readinessPort = 8167
+	packetPort    = 8172
+	internalFirst = 7720
+	internalLast  = 7735
+	targetPort    = 8080
+)
+
+const (
+	memberCount   = 3
+	balancerCount = 3
+	// startLimit is how long the fleet may take until it is ready.
+	startLimit = 20 * time.Second
+)
+
+// zoneNames are the zones of the fleet. Machine i is in zone i modulo their number.
+var zoneNames = []string{"scot-central-a", "scot-central-b", "scot-central-c"}
+
+const regionName = "scot-central"
+
+// machine is one machine of the system with its one process.
+type machine struct {
+	role    string
+	address netip.Addr
+	zone    string
+	process *exec.Cmd
+	log     *os.File
+	done    chan struct{}
+}
+
+func (machine *machine) at(port int) string { return fmt.Sprintf("%s:%d", machine.address, port) }
+
+// fleet is the system under test.
+type fleet struct {
+	members   []*machine
+	balancers []*machine
+	// network is the second and third byte of all addresses.
+	network [2]byte
+	record  *record
+}
+
+func (fleet *fleet) address(last byte) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, fleet.network[0], fleet.network[1], last})
+}
+
+// startFleet starts members and balancers and waits until all are ready.
+func startFleet(program, folder string, record *record) (*fleet, error) {
+	network, err := freeNetwork()
+	if err != nil {
+		return nil, err
+	}
+	fleet := &fleet{network: network, record: record}
+	for index := range memberCount {
+		fleet.members = append(fleet.members, fleet.newMachine("member", byte(10+index), index))
+	}
+	for index := range balancerCount {
+		fleet.balancers = append(fleet.balancers, fleet.newMachine("balancer", byte(100+index), index))
+	}
+	for _, machine := range fleet.machines() {
+		if err := fleet.start(machine, program, folder); err != nil {
+			return fleet, err
+		}
+	}
+	return fleet, nil
+}
+
+func (fleet *fleet) newMachine(role string, last byte, index int) *machine {
+	return &machine{role: role, address: fleet.address(last), zone: zoneNames[index%len(zoneNames)]}
+}
+
+func (fleet *fleet) machines() []*machine {
+	return append(append([]*machine(nil), fleet.members...), fleet.balancers...)
+}
+
+// freeNetwork returns a network of loopback addresses on which no machine's ports are in use.
+func freeNetwork() ([2]byte, error) {
+	for try := range 50 {
+		number := (os.Getpid()*7 + try*131) % (100 * 250)
+		network := [2]byte{byte(100 + number/250), byte(1 + number%250)}
+		address := netip.AddrFrom4([4]byte{127, network[0], network[1], 10})
+		free := true
+		for _, port := range []int{controlPort, internalFirst, internalLast, targetPort, packetPort, readinessPort} {
+			listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", address, port))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = listener.Close()
+		}
+		if free {
+			return network, nil
+		}
+	}
+	return [2]byte{}, errors.New("no free loopback network")
+}
+
+// settings returns the settings file of a machine: the template of its role in deploy/templates,
+// filled with the fields of a small deployment.
+func (fleet *fleet) settings(machine *machine, folder string) string {
+	var seeds, zones []string
+	for _, member := range fleet.members {
+		seeds = append(seeds, fmt.Sprintf("%q", member.at(controlPort)))
+	}
+	for _, zone := range zoneNames {
+		zones = append(zones, fmt.Sprintf("{name: %q, region: %q }", zone, regionName))
+	}
+	lines := []string{
+		fmt.Sprintf("node: %q", machine.at(internalFirst)),
+		fmt.Sprintf("zone: %q", machine.zone),
+		fmt.Sprintf("region: %q", regionName),
+		fmt.Sprintf("data_folder: %q", filepath.Join(folder, machine.address.String(), "data")),
+		fmt.Sprintf("listen: %q", machine.at(internalFirst)),
+	}
+	direct := []string{
+		"direct:",
+		"  seeds: [" + strings.Join(seeds, ",") + "]",
+		fmt.Sprintf("  member_port: %d", internalFirst),
+	}
+	if machine.role == "member" {
+		lines = append(lines, fmt.Sprintf("status: %q", machine.at(internalLast)))
+		direct = append(direct, "  bootstrap: true", fmt.Sprintf("  api: %q", machine.at(controlPort)),
+			"  tolerated_losses: 1", fmt.Sprintf("  renewal_interval: \"%dms\"", heartbeatInterval.Milliseconds()),
+			"  tolerated_zones: 0", "  flow_life: \"60s\"")
+	} else {
+		lines = append(lines, fmt.Sprintf("status: %q", machine.at(readinessPort)))
+		direct = append(direct, "  link_megabits: 1000", "  zones: ["+strings.Join(zones, ",")+"]",
+			fmt.Sprintf("  renewals: %q", machine.at(internalLast)), fmt.Sprintf("  packets: %q", machine.at(packetPort)),
+			"  flow_life: \"60s\"")
+	}
+	lines = append(append(lines, direct...), "log:", "  output: true", "  ring_lines: 256")
+	return strings.Join(lines, "\n") + "\n"
+}
+
+// start starts a machine's process with the command of the deploy file.
+func (fleet *fleet) start(machine *machine, program, folder string) error {
+	own := filepath.Join(folder, machine.address.String())
+	if err := os.MkdirAll(filepath.Join(own, "data"), 0o750); err != nil {
+		return err
+	}
+	settings := filepath.Join(own, "local.yaml")
+	if err := os.WriteFile(settings, []byte(fleet.settings(machine, folder)), 0o600); err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(own, "log"))
+	if err != nil {
+		return err
+	}
+	machine.log = log
+	machine.process = exec.Command(program, machine.role)
+	machine.process.Env = append(os.Environ(), "MERLINPADDLE_BOOT="+settings)
+	machine.process.Stdout = log
+	machine.process.Stderr = log
+	machine.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := machine.process.Start(); err != nil {
+		return err
+	}
+	machine.done = make(chan struct{})
+	go func() {
+		_ = machine.process.Wait()
+		close(machine.done)
+	}()
+	fleet.record.line("started %s %s in %s, process %d", machine.role, machine.address, machine.zone, machine.process.Process.Pid)
+	return nil
+}
+
+// checkRunning fails if a process has ended by itself.
+func (fleet *fleet) checkRunning() error {
+	for _, machine := range fleet.machines() {
+		select {
+		case <-machine.done:
+			return fmt.Errorf("%s %s ended by itself", machine.role, machine.address)
+		default:
+		}
+	}
+	return nil
+}
+
+// stop ends all processes. If the variable DRILL_LOGS names a folder, it copies their logs there.
+func (fleet *fleet) stop() {
+	for _, machine := range fleet.machines() {
+		if machine.done == nil {
+			continue
+		}
+		_ = machine.process.Process.Kill()
+		<-machine.done
+		_ = machine.log.Close()
+		if folder := os.Getenv("DRILL_LOGS"); folder != "" {
+			content, _ := os.ReadFile(machine.log.Name())
+			_ = os.WriteFile(filepath.Join(folder, machine.role+"-"+machine.address.String()+".log"), content, 0o600)
+		}
+	}
+}
+
+// awaitReady waits until all balancers are ready, which needs a configuration.
+func (fleet *fleet) awaitReady() error {
+	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, balancer := range fleet.balancers {
+			if status, _, err := call(http.MethodGet, balancer.at(readinessPort), "/readyz", nil); err == nil && status == http.StatusOK {
+				ready++
+			}
+		}
+		if ready == len(fleet.balancers) {
+			fleet.record.line("all %d balancers are ready", ready)
+			return nil
+		}
+	}
+	return errors.New("the balancers did not become ready")
+}
+
+// callTimeout is how long callers wait for a response before they turn to another node.
+const callTimeout = time.Second
+
+// call sends one request on a connection of its own.
+func call(method, address, path string, body []byte) (int, []byte, error) {
+	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	if body == nil {
+		request.Body = nil
+		request.ContentLength = 0
+	} else {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	client := http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	return response.StatusCode, answer, err
+}
+
+// putConfig sends a configuration to one member after the other until it is acknowledged, or
+// refused with 400.
+func (fleet *fleet) putConfig(content map[string]any) error {
+	body, err := json.Marshal(content)
+	if err != nil {
+		return err
+	}
+	for end, index := time.Now().Add(startLimit), 0; time.Now().Before(end); index++ {
+		member := fleet.members[index%len(fleet.members)]
+		status, answer, err := call(http.MethodPut, member.at(controlPort), "/config", body)
+		fleet.record.line("operator: PUT /config at %s: status %d, error %v; sent %s", member.address, status, err, body)
+		switch {
+		case err == nil && status == http.StatusOK:
+			return nil
+		case err == nil && status == http.StatusBadRequest:
+			return fmt.Errorf("the configuration is refused: %s", answer)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return errors.New("the configuration was not acknowledged")
+}
+
+// routeAddress is the platform address of the only route.
+func (fleet *fleet) routeAddress() netip.AddrPort {
+	return netip.MustParseAddrPort("198.18.0.1:8443")
+}
+
+const (
+	declaredService = "huvo11a"
+	undeclaredName  = "sidecar-metrics"
+)
+
+// config returns a configuration with one route and one service, in the form of the PROTOCOL page.
+func (fleet *fleet) config(version int, service map[string]any) map[string]any {
+	declared := map[string]any{
+		"name": declaredService, "health-check-path": "/health", "max-connections": 2000, "protocol": "h1", "tls": false,
+	}
+	for name, value := range service {
+		declared[name] = value
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []any{map[string]any{
+			"name": "r-a3hwrr6", "hostname": fleet.routeAddress().Addr().String(),
+			"path-prefix": fmt.Sprintf("/%d/", fleet.routeAddress().Port()), "type": "unsafe",
+			"timeout-ms": 4000, "aim-ms": 500, "priority": 1, "service": declaredService, "max-attempts": 2,
+		}},
+		"services": []any{declared},
+		"limits": map[string]any{
+			"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
+		},
+	}
+}
--- /dev/null
+++ b/review/drill/main.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// The exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNoRun  = 2
+)
+
+// verdict is the outcome of a case that ran.
+type verdict struct {
+	broken bool
+	text   string
+}
+
+// caseOptions are what a case gets.
+type caseOptions struct {
+	fleet *fleet
+	// trouble is false for the run without the disruption.
+	trouble bool
+	record  *record
+}
+
+// cases has the function of each case by the name that the flag -case takes.
+var cases = map[string]func(caseOptions) (verdict, error){
+	"leaving-address":    leavingAddress,
+	"restarted-leaver":   restartedLeaver,
+	"fractional-seconds": fractionalSeconds,
+}
+
+// record writes what was sent, answered and run, with the time since the start of the case.
+type record struct {
+	lock  sync.Mutex
+	file  *os.File
+	start time.Time
+}
+
+func newRecord(path string) (*record, error) {
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	return &record{file: file, start: time.Now()}, nil
+}
+
+func (record *record) line(format string, arguments ...any) {
+	record.lock.Lock()
+	defer record.lock.Unlock()
+	_, _ = fmt.Fprintf(record.file, "%8.3f %s\n", time.Since(record.start).Seconds(), fmt.Sprintf(format, arguments...))
+}
+
+func main() {
+	name := flag.String("case", "", "case to play")
+	program := flag.String("program", "target/merlinplatform", "program under test")
+	recordPath := flag.String("record", "record.txt", "file for the record")
+	flag.Parse()
+	os.Exit(play(*name, *program, *recordPath, os.Getenv("TROUBLE") != "0"))
+}
+
+// play runs one case and returns its exit code.
+func play(name, program, recordPath string, trouble bool) int {
+	record, err := newRecord(recordPath)
+	if err != nil {
+		fmt.Println("no run:", err)
+		return exitNoRun
+	}
+	run := cases[name]
+	if run == nil {
+		err = fmt.Errorf("unknown case %q", name)
+	}
+	var result verdict
+	if err == nil {
+		result, err = runCase(run, program, trouble, record)
+	}
+	if err != nil {
+		record.line("no run: %v", err)
+		fmt.Println("no run:", err)
+		return exitNoRun
+	}
+	record.line("verdict: broken=%t, trouble=%t: %s", result.broken, trouble, result.text)
+	fmt.Printf("broken=%t trouble=%t: %s\n", result.broken, trouble, result.text)
+	if result.broken {
+		return exitBroken
+	}
+	return exitHeld
+}
+
+// runCase starts a fleet, runs a case on it and ends all its processes.
+func runCase(run func(caseOptions) (verdict, error), program string, trouble bool, record *record) (result verdict, err error) {
+	program, err = filepath.Abs(program)
+	if err != nil {
+		return verdict{}, err
+	}
+	folder, err := os.MkdirTemp("", "drill-")
+	if err != nil {
+		return verdict{}, err
+	}
+	defer func() { err = errors.Join(err, os.RemoveAll(folder)) }()
+	fleet, err := startFleet(program, folder, record)
+	if fleet != nil {
+		defer fleet.stop()
+	}
+	if err != nil {
+		return verdict{}, err
+	}
+	result, err = run(caseOptions{fleet: fleet, trouble: trouble, record: record})
+	if err == nil {
+		err = fleet.checkRunning()
+	}
+	return result, err
+}
