Review cases 4 and 5: a second form of each disruption

Cause: a late heartbeat of an earlier incarnation takes the same path as the entry of another writer, and a notice without a body is lost like one with a start. Change: each case meets both forms, at targets of their own.

--- a/review/drill/cases.go
+++ b/review/drill/cases.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"reflect"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -56,56 +57,102 @@
 	served   int
 }
 
-const longFlows = 24
+const longFlows = 40
 
-// leavingAddress is the case of an entry of another writer that names the address of a target that
-// leaves.
+// earlierDelay is how late the only heartbeat of the earlier incarnation comes.
+const earlierDelay = 7500 * time.Millisecond
+
+// startReborn starts a target that crashes after 0.3 s and a new incarnation at its address, which it
+// returns. The heartbeat of the first one is late in a run with the disruption.
+func startReborn(options caseOptions) (*target, *sync.WaitGroup, error) {
+	earlier, err := options.fleet.startTarget(0x7f3a9300, 161, zoneNames[1])
+	if err != nil {
+		return nil, nil, err
+	}
+	late := &sync.WaitGroup{}
+	late.Add(1)
+	go func() {
+		defer late.Done()
+		if options.trouble {
+			earlier.beatLate(earlierDelay)
+			return
+		}
+		earlier.beatOnce()
+	}()
+	time.Sleep(300 * time.Millisecond)
+	earlier.end("crash")
+	time.Sleep(100 * time.Millisecond)
+	reborn, err := options.fleet.startTarget(0x7f3a9301, 161, zoneNames[1])
+	if err != nil {
+		return nil, nil, err
+	}
+	go reborn.beat()
+	return reborn, late, nil
+}
+
+// leavingAddress is the case of an entry or a heartbeat that is not of a target that leaves, but has
+// its address. One comes from another writer, and one, late, from an earlier incarnation.
 func leavingAddress(options caseOptions) (verdict, error) {
 	targets, client, err := startService(options, 4)
 	if err != nil {
 		return verdict{}, err
 	}
+	reborn, late, err := startReborn(options)
+	if err != nil {
+		return verdict{}, err
+	}
+	targets = append(targets, reborn)
+	time.Sleep(touchBound + 200*time.Millisecond)
 	flows, err := openLongFlows(options, client)
 	if err != nil {
 		return verdict{}, err
 	}
-	done := make(chan *longFlow, len(flows))
-	stop := time.Now().Add(16 * time.Second)
+	done := make(chan struct{}, len(flows))
+	stop := time.Now().Add(12 * time.Second)
 	for index, flow := range flows {
 		go func() {
 			flow.use(options.record, fmt.Sprintf("f-%02d", index), stop)
-			done <- flow
+			done <- struct{}{}
 		}()
 	}
-	leaver := targets[3]
-	time.Sleep(3 * time.Second)
-	if _, err := leaver.leave(); err != nil {
-		return verdict{}, err
+	leavers := []*target{targets[3], reborn}
+	time.Sleep(300 * time.Millisecond)
+	for _, leaver := range leavers {
+		if _, err := leaver.leave(true); err != nil {
+			return verdict{}, err
+		}
 	}
-	time.Sleep(1500 * time.Millisecond)
+	time.Sleep(time.Second)
 	if options.trouble {
-		sendForeignEntry(options, leaver)
+		sendForeignEntry(options, leavers[0])
 	}
 	for range flows {
 		<-done
 	}
-	broken, atLeaver, served := 0, 0, 0
+	late.Wait()
+	served := 0
+	var broken, atLeaver [2]int
 	for _, flow := range flows {
 		served += flow.served
-		if flow.owner == leaver.id {
-			atLeaver++
-		}
-		owner := find(targets, flow.owner)
-		if errors.Is(flow.failure, errSystemReset) && owner != nil && !owner.didReset(flow.flow.from) && flow.failedAt.Sub(flow.opened) < flowLimit {
-			broken++
-			options.record.line("FLOW: the flow of %s opened at %s, which lives and did not reset it, and was reset by the system", flow.flow.from, flow.owner)
+		reset := errors.Is(flow.failure, errSystemReset) && flow.failedAt.Sub(flow.opened) < flowLimit
+		for index, leaver := range leavers {
+			if flow.owner != leaver.id {
+				continue
+			}
+			atLeaver[index]++
+			if reset && !leaver.didReset(flow.flow.from) {
+				broken[index]++
+				options.record.line("FLOW: the flow of %s opened at %s, which lives and did not reset it, and was reset by the system", flow.flow.from, flow.owner)
+			}
 		}
 	}
-	leaver.end("it served on after its notice")
-	if atLeaver == 0 || served == 0 {
-		return verdict{}, fmt.Errorf("%d flows opened at the leaving target, and %d requests were served", atLeaver, served)
+	for _, leaver := range leavers {
+		leaver.end("it served on after its notice")
 	}
-	return verdict{broken: broken > 0, text: fmt.Sprintf("FLOW: %d of %d open flows at the leaving target were reset by the system, which the target did not do; %d requests served on %d flows", broken, atLeaver, served, len(flows))}, nil
+	if atLeaver[0]+atLeaver[1] == 0 || served == 0 {
+		return verdict{}, fmt.Errorf("%v flows opened at the leaving targets, and %d requests were served", atLeaver, served)
+	}
+	return verdict{broken: broken[0]+broken[1] > 0, text: fmt.Sprintf("FLOW: flows at leaving targets that the system reset and their targets did not: %d of %d where another writer's entry has the address, %d of %d where the late heartbeat of an earlier incarnation has it; %d requests served on %d flows", broken[0], atLeaver[0], broken[1], atLeaver[1], served, len(flows))}, nil
 }
 
 // sendForeignEntry sends an entry of another writer: it has an id and a service of its own that no
@@ -150,17 +197,9 @@
 	long.flow.close()
 }
 
-func find(targets []*target, id string) *target {
-	for _, target := range targets {
-		if target.id == id {
-			return target
-		}
-	}
-	return nil
-}
-
-// restartedLeaver is the case of a target that restarts under its former id and sends its notice that
-// it leaves while its first heartbeat is late.
+// restartedLeaver is the case of targets that send their notice that they leave while their first
+// heartbeat is late. One has restarted under its former id, and its notice tells its start. The other
+// is new, and its notice is that of the PROTOCOL page's example, which has no body.
 func restartedLeaver(options caseOptions) (verdict, error) {
 	targets, client, err := startService(options, 4)
 	if err != nil {
@@ -176,47 +215,60 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	late := make(chan struct{})
-	if options.trouble {
-		go restarted.beatLate(heartbeatDelay, late)
-	} else {
-		close(late)
-		if !restarted.beatOnce() {
-			return verdict{}, errors.New("the restarted target's heartbeat was not acknowledged")
+	added, err := options.fleet.startTarget(0x7f3a9200, 160, zoneNames[0])
+	if err != nil {
+		return verdict{}, err
+	}
+	leavers := []*target{restarted, added}
+	var late sync.WaitGroup
+	for _, leaver := range leavers {
+		if options.trouble {
+			late.Add(1)
+			go func() {
+				defer late.Done()
+				leaver.beatLate(heartbeatDelay)
+			}()
+		} else if !leaver.beatOnce() {
+			return verdict{}, fmt.Errorf("the heartbeat of %s was not acknowledged", leaver.id)
 		}
 	}
 	time.Sleep(600 * time.Millisecond)
-	acknowledged, err := restarted.leave()
-	if err != nil {
-		return verdict{}, err
+	var acknowledged [2]time.Time
+	for index, leaver := range leavers {
+		if acknowledged[index], err = leaver.leave(leaver == restarted); err != nil {
+			return verdict{}, err
+		}
 	}
 	time.Sleep(drainBound + 5*time.Second)
 	close(stop)
 	load.waiting.Wait()
-	<-late
-	served := len(restarted.openingsAfter(time.Time{}))
-	after := restarted.openingsAfter(acknowledged.Add(drainBound))
-	for _, opening := range after {
-		options.record.line("DRAIN: target %s took a flow of %s %d ms after the acknowledgement that it leaves", restarted.id, opening.caller, opening.at.Sub(acknowledged).Milliseconds())
+	late.Wait()
+	var counts [2]int
+	for index, leaver := range leavers {
+		after := leaver.openingsAfter(acknowledged[index].Add(drainBound))
+		counts[index] = len(after)
+		for _, opening := range after {
+			options.record.line("DRAIN: target %s took a flow of %s %d ms after the acknowledgement that it leaves", leaver.id, opening.caller, opening.at.Sub(acknowledged[index]).Milliseconds())
+		}
+		leaver.end("it served on after its notice")
 	}
-	restarted.end("it served on after its notice")
 	if load.answered == 0 {
 		return verdict{}, errors.New("no request was answered")
 	}
-	return verdict{broken: len(after) > 0, text: fmt.Sprintf("DRAIN: %d of the %d flows that the restarted target took arrived later than %s after the acknowledgement that it leaves; %s", len(after), served, drainBound, load.summary())}, nil
+	return verdict{broken: counts[0]+counts[1] > 0, text: fmt.Sprintf("DRAIN: flows that arrived later than %s after the acknowledgement that their target leaves: %d of %d at the restarted one, %d of %d at the new one; %s",
+		drainBound, counts[0], len(restarted.openingsAfter(time.Time{})), counts[1], len(added.openingsAfter(time.Time{})), load.summary())}, nil
 }
 
-// heartbeatDelay is how late the first heartbeat of the restarted target comes.
+// heartbeatDelay is how late the first heartbeat of a target that leaves comes.
 const heartbeatDelay = 3 * time.Second
 
 // beatLate sends the first heartbeat, which reaches the member after a delay.
-func (target *target) beatLate(delay time.Duration, done chan<- struct{}) {
+func (target *target) beatLate(delay time.Duration) {
 	body := target.body()
 	target.fleet.record.line("target %s: heartbeat 1 is on its way and late: %s", target.id, body)
 	time.Sleep(delay)
 	status, answer, err := call(http.MethodPut, target.fleet.members[0].at(controlPort), "/instances/"+target.id, body)
 	target.fleet.record.line("target %s: heartbeat 1 arrives %s late: status %d, error %v, answer %s", target.id, delay, status, err, strings.TrimSpace(string(answer)))
-	close(done)
 }
 
 // fractionalSeconds is the case of a change of the configuration to a cold start of a fractional
--- a/review/drill/target.go
+++ b/review/drill/target.go
@@ -160,16 +160,20 @@
 }
 
 // leave sends the notice that the target leaves, without a draining report before it, until it is
-// acknowledged. It returns when that was. The target sends no heartbeats afterwards and serves on.
-func (target *target) leave() (time.Time, error) {
+// acknowledged. It returns when that was. The target sends no heartbeats afterwards and serves on. The
+// notice tells the target's start if withStart is set, and has no body otherwise.
+func (target *target) leave(withStart bool) (time.Time, error) {
 	target.lock.Lock()
 	target.silent = true
 	target.lock.Unlock()
-	body, _ := json.Marshal(map[string]any{"born": target.born})
+	var body []byte
+	if withStart {
+		body, _ = json.Marshal(map[string]any{"born": target.born})
+	}
 	for index := range 10 {
 		member := target.fleet.members[(index+1)%len(target.fleet.members)]
 		status, _, err := call(http.MethodDelete, member.at(controlPort), "/instances/"+target.id, body)
-		target.fleet.record.line("target %s: DELETE at %s: status %d, error %v", target.id, member.address, status, err)
+		target.fleet.record.line("target %s: DELETE %s at %s: status %d, error %v", target.id, body, member.address, status, err)
 		if err == nil && status/100 == 2 {
 			return time.Now(), nil
 		}
