Review case 4: a core whose machines are all replaced at once is lost for good

Cause: three leaving voters hand leadership to each other ten times a second, and a leader changes the membership only after 400 ms.

--- a/review/drill/cases.go
+++ b/review/drill/cases.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -317,3 +319,135 @@
 	}
 	return reflect.DeepEqual(expected, found)
 }
+
+const (
+	// catchUp and recoverBound are catch-up-s and recovery-s of the site dzn-riga.
+	catchUp      = 4 * time.Second
+	recoverBound = 12 * time.Second
+)
+
+// readBack reads the configuration from all members that are left, for 28 s longer than recovery-s at
+// most. It returns the number of reads and whether one was answered with version 2.
+func readBack(options caseOptions) (reads int, came bool) {
+	for end := time.Now().Add(recoverBound + 28*time.Second); time.Now().Before(end) && !came; time.Sleep(500 * time.Millisecond) {
+		for _, member := range options.fleet.members {
+			if member.gone {
+				continue
+			}
+			status, answer, err := call(http.MethodGet, member.at(controlPort), "/config", nil)
+			options.record.line("operator: GET /config at %s: status %d, error %v, answer %s", member.address, status, err, strings.TrimSpace(string(answer)))
+			reads++
+			var found struct {
+				Version int `json:"version"`
+			}
+			came = came || err == nil && status == http.StatusOK && json.Unmarshal(answer, &found) == nil && found.Version >= 2
+		}
+	}
+	return reads, came
+}
+
+// secondLoss is the case of a disk that is lost after a lost machine has been replaced, while the open
+// connections between the machines went silent once in between.
+func secondLoss(options caseOptions) (verdict, error) {
+	fleet := options.fleet
+	if err := fleet.putConfig(fleet.config(1, nil)); err != nil {
+		return verdict{}, err
+	}
+	if err := fleet.awaitReady(); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(touchBound)
+	taken, loser := fleet.members[0], fleet.members[1]
+	takenAt := time.Now()
+	fleet.kill(taken)
+	time.Sleep(200 * time.Millisecond)
+	successor := fleet.newMachine("member", 20, 0)
+	successor.bootstrap = false
+	if err := fleet.addProxy(successor); err != nil {
+		return verdict{}, err
+	}
+	if err := fleet.start(successor); err != nil {
+		return verdict{}, err
+	}
+	startedAt := time.Now()
+	fleet.members = append(fleet.members, successor)
+	if options.trouble {
+		time.Sleep(time.Until(takenAt.Add(2600 * time.Millisecond)))
+		options.record.line("%d open connections between machines go silent", fleet.silence())
+	}
+	time.Sleep(time.Until(startedAt.Add(catchUp + 200*time.Millisecond)))
+	if err := fleet.putConfig(fleet.config(2, nil)); err != nil {
+		return verdict{}, err
+	}
+	sinceStart := time.Since(startedAt)
+	options.record.line("version 2 is acknowledged %s after the start of the successor", sinceStart)
+	fleet.kill(loser)
+	if err := os.RemoveAll(fleet.dataFolder(loser)); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(500 * time.Millisecond)
+	loser.bootstrap = false
+	if err := fleet.start(loser); err != nil {
+		return verdict{}, err
+	}
+	options.record.line("member %s is back with an empty disk", loser.address)
+	reads, came := readBack(options)
+	text := fmt.Sprintf("the acknowledged configuration was read back: %t, after %d reads; the disk was lost %s after the start of the successor", came, reads, sinceStart.Round(time.Millisecond))
+	return verdict{broken: !came, text: "CONFIG: " + text}, nil
+}
+
+// takeAway takes old machines away for good and waits until they have ended. By default all of them get
+// SIGTERM at once. With "turn" they get it 1 s apart, and with "kill" two are killed 1 s apart.
+func takeAway(fleet *fleet, former []*machine, how string) {
+	var ended sync.WaitGroup
+	for index, machine := range former {
+		if index > 0 && how != "" {
+			time.Sleep(time.Second)
+		}
+		if how == "kill" {
+			if index < 2 {
+				fleet.kill(machine)
+			}
+			continue
+		}
+		ended.Add(1)
+		go func() {
+			defer ended.Done()
+			fleet.terminate(machine)
+		}()
+	}
+	ended.Wait()
+}
+
+// replacedCore is the case of a core all of whose machines are replaced: the successors start first, and
+// the old machines are taken away once the successors have had their time.
+func replacedCore(options caseOptions) (verdict, error) {
+	fleet := options.fleet
+	if err := fleet.putConfig(fleet.config(1, nil)); err != nil {
+		return verdict{}, err
+	}
+	if err := fleet.awaitReady(); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(touchBound)
+	former := slices.Clone(fleet.members)
+	for index := range former {
+		successor := fleet.newMachine("member", byte(20+index), index)
+		successor.bootstrap = false
+		if err := fleet.start(successor); err != nil {
+			return verdict{}, err
+		}
+		fleet.members = append(fleet.members, successor)
+	}
+	startedAt := time.Now()
+	time.Sleep(catchUp + 500*time.Millisecond)
+	if err := fleet.putConfig(fleet.config(2, nil)); err != nil {
+		return verdict{}, err
+	}
+	options.record.line("version 2 is acknowledged %s after the start of the successors", time.Since(startedAt))
+	if options.trouble {
+		takeAway(fleet, former, os.Getenv("TAKEN"))
+	}
+	reads, came := readBack(options)
+	return verdict{broken: !came, text: fmt.Sprintf("CONFIG: the acknowledged configuration was read back: %t, after %d reads at the machines that are left", came, reads)}, nil
+}
--- a/review/drill/fleet.go
+++ b/review/drill/fleet.go
@@ -23,6 +23,7 @@
 	readinessPort = 8167
 	packetPort    = 8172
 	internalFirst = 7720
+	proxiedPort   = 7721
 	internalLast  = 7735
 	targetPort    = 8080
 )
@@ -44,9 +45,16 @@
 	role    string
 	address netip.Addr
 	zone    string
-	process *exec.Cmd
-	log     *os.File
-	done    chan struct{}
+	// listenPort is the port on which the process listens for the other nodes. It is another one than
+	// that of its name behind a proxy.
+	listenPort int
+	// bootstrap is its setting at the next start.
+	bootstrap bool
+	process   *exec.Cmd
+	log       *os.File
+	done      chan struct{}
+	// gone means that the case killed the process.
+	gone bool
 }
 
 func (machine *machine) at(port int) string { return fmt.Sprintf("%s:%d", machine.address, port) }
@@ -58,19 +66,24 @@
 	// network is the second and third byte of all addresses.
 	network [2]byte
 	record  *record
+	program string
+	folder  string
+	// proxies stand in front of the members' ports for other nodes; empty for none.
+	proxies []*proxy
 }
 
 func (fleet *fleet) address(last byte) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, fleet.network[0], fleet.network[1], last})
 }
 
-// startFleet starts members and balancers and waits until all are ready.
-func startFleet(program, folder string, record *record) (*fleet, error) {
+// startFleet starts members and balancers, with a proxy in front of each member's port for other nodes
+// if proxied is set.
+func startFleet(program, folder string, proxied bool, record *record) (*fleet, error) {
 	network, err := freeNetwork()
 	if err != nil {
 		return nil, err
 	}
-	fleet := &fleet{network: network, record: record}
+	fleet := &fleet{network: network, record: record, program: program, folder: folder}
 	for index := range memberCount {
 		fleet.members = append(fleet.members, fleet.newMachine("member", byte(10+index), index))
 	}
@@ -78,7 +91,12 @@
 		fleet.balancers = append(fleet.balancers, fleet.newMachine("balancer", byte(100+index), index))
 	}
 	for _, machine := range fleet.machines() {
-		if err := fleet.start(machine, program, folder); err != nil {
+		if proxied && machine.role == "member" {
+			if err := fleet.addProxy(machine); err != nil {
+				return fleet, err
+			}
+		}
+		if err := fleet.start(machine); err != nil {
 			return fleet, err
 		}
 	}
@@ -86,7 +104,7 @@
 }
 
 func (fleet *fleet) newMachine(role string, last byte, index int) *machine {
-	return &machine{role: role, address: fleet.address(last), zone: zoneNames[index%len(zoneNames)]}
+	return &machine{role: role, address: fleet.address(last), zone: zoneNames[index%len(zoneNames)], listenPort: internalFirst, bootstrap: true}
 }
 
 func (fleet *fleet) machines() []*machine {
@@ -100,7 +118,7 @@
 		network := [2]byte{byte(100 + number/250), byte(1 + number%250)}
 		address := netip.AddrFrom4([4]byte{127, network[0], network[1], 10})
 		free := true
-		for _, port := range []int{controlPort, internalFirst, internalLast, targetPort, packetPort, readinessPort} {
+		for _, port := range []int{controlPort, internalFirst, proxiedPort, internalLast, targetPort, packetPort, readinessPort} {
 			listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", address, port))
 			if err != nil {
 				free = false
@@ -117,9 +135,9 @@
 
 // settings returns the settings file of a machine: the template of its role in deploy/templates,
 // filled with the fields of a small deployment.
-func (fleet *fleet) settings(machine *machine, folder string) string {
+func (fleet *fleet) settings(machine *machine) string {
 	var seeds, zones []string
-	for _, member := range fleet.members {
+	for _, member := range fleet.members[:memberCount] {
 		seeds = append(seeds, fmt.Sprintf("%q", member.at(controlPort)))
 	}
 	for _, zone := range zoneNames {
@@ -129,8 +147,8 @@
 		fmt.Sprintf("node: %q", machine.at(internalFirst)),
 		fmt.Sprintf("zone: %q", machine.zone),
 		fmt.Sprintf("region: %q", regionName),
-		fmt.Sprintf("data_folder: %q", filepath.Join(folder, machine.address.String(), "data")),
-		fmt.Sprintf("listen: %q", machine.at(internalFirst)),
+		fmt.Sprintf("data_folder: %q", fleet.dataFolder(machine)),
+		fmt.Sprintf("listen: %q", machine.at(machine.listenPort)),
 	}
 	direct := []string{
 		"direct:",
@@ -139,7 +157,7 @@
 	}
 	if machine.role == "member" {
 		lines = append(lines, fmt.Sprintf("status: %q", machine.at(internalLast)))
-		direct = append(direct, "  bootstrap: true", fmt.Sprintf("  api: %q", machine.at(controlPort)),
+		direct = append(direct, fmt.Sprintf("  bootstrap: %t", machine.bootstrap), fmt.Sprintf("  api: %q", machine.at(controlPort)),
 			"  tolerated_losses: 1", fmt.Sprintf("  renewal_interval: \"%dms\"", heartbeatInterval.Milliseconds()),
 			"  tolerated_zones: 0", "  flow_life: \"60s\"")
 	} else {
@@ -153,21 +171,21 @@
 }
 
 // start starts a machine's process with the command of the deploy file.
-func (fleet *fleet) start(machine *machine, program, folder string) error {
-	own := filepath.Join(folder, machine.address.String())
-	if err := os.MkdirAll(filepath.Join(own, "data"), 0o750); err != nil {
+func (fleet *fleet) start(machine *machine) error {
+	own := filepath.Join(fleet.folder, machine.address.String())
+	if err := os.MkdirAll(fleet.dataFolder(machine), 0o750); err != nil {
 		return err
 	}
 	settings := filepath.Join(own, "local.yaml")
-	if err := os.WriteFile(settings, []byte(fleet.settings(machine, folder)), 0o600); err != nil {
+	if err := os.WriteFile(settings, []byte(fleet.settings(machine)), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(own, "log"))
+	log, err := os.OpenFile(filepath.Join(own, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	machine.log = log
-	machine.process = exec.Command(program, machine.role)
+	machine.process = exec.Command(fleet.program, machine.role)
 	machine.process.Env = append(os.Environ(), "MERLINPADDLE_BOOT="+settings)
 	machine.process.Stdout = log
 	machine.process.Stderr = log
@@ -175,18 +193,53 @@
 	if err := machine.process.Start(); err != nil {
 		return err
 	}
-	machine.done = make(chan struct{})
+	machine.gone = false
+	done, process := make(chan struct{}), machine.process
+	machine.done = done
 	go func() {
-		_ = machine.process.Wait()
-		close(machine.done)
+		_ = process.Wait()
+		close(done)
 	}()
 	fleet.record.line("started %s %s in %s, process %d", machine.role, machine.address, machine.zone, machine.process.Process.Pid)
 	return nil
 }
 
+// dataFolder returns the folder that stands for the machine's disk.
+func (fleet *fleet) dataFolder(machine *machine) string {
+	return filepath.Join(fleet.folder, machine.address.String(), "data")
+}
+
+// kill kills a machine's process, as a loss of the machine does.
+func (fleet *fleet) kill(machine *machine) {
+	_ = machine.process.Process.Kill()
+	<-machine.done
+	_ = machine.log.Close()
+	machine.gone = true
+	fleet.record.line("killed %s %s", machine.role, machine.address)
+}
+
+// graceTime is grace-s: the platform sends SIGKILL this long after SIGTERM.
+const graceTime = 6 * time.Second
+
+// terminate stops a machine's process for good, as the platform does.
+func (fleet *fleet) terminate(machine *machine) {
+	fleet.record.line("SIGTERM to %s %s", machine.role, machine.address)
+	machine.gone = true
+	_ = machine.process.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-machine.done:
+		fleet.record.line("%s %s has ended", machine.role, machine.address)
+	case <-time.After(graceTime):
+		fleet.kill(machine)
+	}
+}
+
 // checkRunning fails if a process has ended by itself.
 func (fleet *fleet) checkRunning() error {
 	for _, machine := range fleet.machines() {
+		if machine.gone {
+			continue
+		}
 		select {
 		case <-machine.done:
 			return fmt.Errorf("%s %s ended by itself", machine.role, machine.address)
@@ -198,6 +251,9 @@
 
 // stop ends all processes. If the variable DRILL_LOGS names a folder, it copies their logs there.
 func (fleet *fleet) stop() {
+	for _, proxy := range fleet.proxies {
+		_ = proxy.listener.Close()
+	}
 	for _, machine := range fleet.machines() {
 		if machine.done == nil {
 			continue
--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -32,10 +32,18 @@
 }
 
 // cases has the function of each case by the name that the flag -case takes.
-var cases = map[string]func(caseOptions) (verdict, error){
-	"leaving-address":    leavingAddress,
-	"restarted-leaver":   restartedLeaver,
-	"fractional-seconds": fractionalSeconds,
+var cases = map[string]scriptedCase{
+	"replaced-core":      {run: replacedCore},
+	"second-loss":        {run: secondLoss, proxied: true},
+	"leaving-address":    {run: leavingAddress},
+	"restarted-leaver":   {run: restartedLeaver},
+	"fractional-seconds": {run: fractionalSeconds},
+}
+
+// scriptedCase is a case. Its fleet has proxies in front of the members if proxied is set.
+type scriptedCase struct {
+	run     func(caseOptions) (verdict, error)
+	proxied bool
 }
 
 // record writes what was sent, answered and run, with the time since the start of the case.
@@ -74,13 +82,13 @@
 		fmt.Println("no run:", err)
 		return exitNoRun
 	}
-	run := cases[name]
-	if run == nil {
+	chosen, known := cases[name]
+	if !known {
 		err = fmt.Errorf("unknown case %q", name)
 	}
 	var result verdict
 	if err == nil {
-		result, err = runCase(run, program, trouble, record)
+		result, err = runCase(chosen, program, trouble, record)
 	}
 	if err != nil {
 		record.line("no run: %v", err)
@@ -96,7 +104,7 @@
 }
 
 // runCase starts a fleet, runs a case on it and ends all its processes.
-func runCase(run func(caseOptions) (verdict, error), program string, trouble bool, record *record) (result verdict, err error) {
+func runCase(chosen scriptedCase, program string, trouble bool, record *record) (result verdict, err error) {
 	program, err = filepath.Abs(program)
 	if err != nil {
 		return verdict{}, err
@@ -106,14 +114,14 @@
 		return verdict{}, err
 	}
 	defer func() { err = errors.Join(err, os.RemoveAll(folder)) }()
-	fleet, err := startFleet(program, folder, record)
+	fleet, err := startFleet(program, folder, chosen.proxied, record)
 	if fleet != nil {
 		defer fleet.stop()
 	}
 	if err != nil {
 		return verdict{}, err
 	}
-	result, err = run(caseOptions{fleet: fleet, trouble: trouble, record: record})
+	result, err = chosen.run(caseOptions{fleet: fleet, trouble: trouble, record: record})
 	if err == nil {
 		err = fleet.checkRunning()
 	}
