--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
   echo "no run: build target/merlinplatform as deploy/system.toml says, and run review/build-2.sh"
   exit 2
 fi
-exec target/review/drill -case replaced-core -program target/merlinplatform -record review/4/record.txt
+exec target/review/drill -case replaced-core,other-zone -program target/merlinplatform -record review/4/record.txt
--- a/review/drill/cases.go
+++ b/review/drill/cases.go
@@ -381,16 +381,9 @@
 	}
 	sinceStart := time.Since(startedAt)
 	options.record.line("version 2 is acknowledged %s after the start of the successor", sinceStart)
-	fleet.kill(loser)
-	if err := os.RemoveAll(fleet.dataFolder(loser)); err != nil {
+	if err := fleet.loseDisk(loser); err != nil {
 		return verdict{}, err
 	}
-	time.Sleep(500 * time.Millisecond)
-	loser.bootstrap = false
-	if err := fleet.start(loser); err != nil {
-		return verdict{}, err
-	}
-	options.record.line("member %s is back with an empty disk", loser.address)
 	reads, came := readBack(options)
 	text := fmt.Sprintf("the acknowledged configuration was read back: %t, after %d reads; the disk was lost %s after the start of the successor", came, reads, sinceStart.Round(time.Millisecond))
 	return verdict{broken: !came, text: "CONFIG: " + text}, nil
@@ -451,3 +444,36 @@
 	reads, came := readBack(options)
 	return verdict{broken: !came, text: fmt.Sprintf("CONFIG: the acknowledged configuration was read back: %t, after %d reads at the machines that are left", came, reads)}, nil
 }
+
+// otherZone is the case of a machine that is taken away without notice after its successor in another
+// zone has had its time, and of one disk that is lost afterwards.
+func otherZone(options caseOptions) (verdict, error) {
+	fleet := options.fleet
+	if err := fleet.putConfig(fleet.config(1, nil)); err != nil {
+		return verdict{}, err
+	}
+	if err := fleet.awaitReady(); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(touchBound)
+	taken, loser := fleet.members[0], fleet.members[1]
+	successor := fleet.newMachine("member", 20, 2)
+	successor.bootstrap = false
+	if err := fleet.start(successor); err != nil {
+		return verdict{}, err
+	}
+	fleet.members = append(fleet.members, successor)
+	time.Sleep(catchUp + 500*time.Millisecond)
+	fleet.kill(taken)
+	time.Sleep(time.Second)
+	if err := fleet.putConfig(fleet.config(2, nil)); err != nil {
+		return verdict{}, err
+	}
+	if options.trouble {
+		if err := fleet.loseDisk(loser); err != nil {
+			return verdict{}, err
+		}
+	}
+	reads, came := readBack(options)
+	return verdict{broken: !came, text: fmt.Sprintf("CONFIG: the acknowledged configuration was read back: %t, after %d reads", came, reads)}, nil
+}
--- a/review/drill/fleet.go
+++ b/review/drill/fleet.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -111,13 +112,21 @@
 	return append(append([]*machine(nil), fleet.members...), fleet.balancers...)
 }
 
+// takenNetworks are those of this process's fleets.
+var (
+	takenLock     sync.Mutex
+	takenNetworks = make(map[[2]byte]bool)
+)
+
 // freeNetwork returns a network of loopback addresses on which no machine's ports are in use.
 func freeNetwork() ([2]byte, error) {
+	takenLock.Lock()
+	defer takenLock.Unlock()
 	for try := range 50 {
 		number := (os.Getpid()*7 + try*131) % (100 * 250)
 		network := [2]byte{byte(100 + number/250), byte(1 + number%250)}
 		address := netip.AddrFrom4([4]byte{127, network[0], network[1], 10})
-		free := true
+		free := !takenNetworks[network]
 		for _, port := range []int{controlPort, internalFirst, proxiedPort, internalLast, targetPort, packetPort, readinessPort} {
 			listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", address, port))
 			if err != nil {
@@ -127,6 +136,7 @@
 			_ = listener.Close()
 		}
 		if free {
+			takenNetworks[network] = true
 			return network, nil
 		}
 	}
@@ -218,6 +228,21 @@
 	fleet.record.line("killed %s %s", machine.role, machine.address)
 }
 
+// loseDisk kills a machine's process, empties its disk and starts it again at its old address.
+func (fleet *fleet) loseDisk(machine *machine) error {
+	fleet.kill(machine)
+	if err := os.RemoveAll(fleet.dataFolder(machine)); err != nil {
+		return err
+	}
+	time.Sleep(500 * time.Millisecond)
+	machine.bootstrap = false
+	if err := fleet.start(machine); err != nil {
+		return err
+	}
+	fleet.record.line("%s %s is back with an empty disk", machine.role, machine.address)
+	return nil
+}
+
 // graceTime is grace-s: the platform sends SIGKILL this long after SIGTERM.
 const graceTime = 6 * time.Second
 
