replica, reconfigure: a leaving leader leads on until a member that stays can take over

What callers saw: three old core machines got SIGTERM at once, 4.5 s after the start of their successors.

Cause: a leaving leader transferred its leadership in each heartbeat interval, also to voters that were leaving.

Change: a leaving leader counts itself as leaving and, while only leaving voters could take over and a learner answers it, leads on: it promotes learners, and hands over to one of them. A new leader that leaves waits two heartbeat intervals, in which it learns of the other leaving members, before it hands over. The same cause on related paths: a leaving voter is demoted while the group has more voters than it wants, also if fewer than the wanted number stay (of five voters three were released with their votes), and a stop waits for that also without a learner. Each release is logged.

--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -59,8 +59,8 @@
 	// member's vote. It covers a learner that still catches up, and leaves time to end
 	// requests in progress before a platform kills the process.
 	leaveTimeout = 3 * time.Second
-	// leaveTimeoutWithoutLearners bounds that wait while no member can take over a vote, so that
-	// only leadership has to be handed over.
+	// leaveTimeoutWithoutLearners bounds that wait while the member keeps its vote, so that only
+	// leadership has to be handed over.
 	leaveTimeoutWithoutLearners = 800 * time.Millisecond
 	// firstElectionDivisor divides the election timeout to get the shorter first one after a
 	// start.
@@ -151,9 +151,13 @@
 }
 
 func provideReconfigure(chosen settings.Settings, group *replica.Controller, logger *zap.Logger) *reconfigure.Controller {
+	return reconfigure.New(reconfigureOptions(chosen), group, logger.Named("membership"))
+}
+
+func reconfigureOptions(chosen settings.Settings) reconfigure.Options {
 	options := reconfigure.DefaultOptions(chosen.Direct.ToleratedLosses)
 	options.ToleratesZoneLoss = chosen.Direct.ToleratedZones > 0
-	return reconfigure.New(options, group, logger.Named("membership"))
+	return options
 }
 
 // memberSource is the feed.Source of a member.
@@ -228,7 +232,11 @@
 			}
 		},
 		func(ctx context.Context) {
-			params.Node.Leave(ctx, leaveTimeout, leaveTimeoutWithoutLearners, params.Logger.Named("group"))
+			params.Node.Leave(ctx, replica.LeaveLimits{
+				VoteMoves:    leaveTimeout,
+				WantedVoters: reconfigureOptions(params.Settings).WantedVoters(),
+				Otherwise:    leaveTimeoutWithoutLearners,
+			}, params.Logger.Named("group"))
 		},
 	))
 }
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -127,6 +127,16 @@
 	CaughtUp bool
 }
 
+// SilentFor returns how long ago the member last answered this leader, but at most
+// how long ago this leader began to send to it.
+func (peer Peer) SilentFor(now time.Time) time.Duration {
+	latest := peer.LastReplyAt
+	if peer.TrackedSince.After(latest) {
+		latest = peer.TrackedSince
+	}
+	return now.Sub(latest)
+}
+
 // Status returns the core's status as of now.
 func (raft *Raft) Status(now time.Time) Status {
 	status := Status{
--- a/internal/raft/transfer.go
+++ b/internal/raft/transfer.go
@@ -6,18 +6,15 @@
 )
 
 // TransferLeadership transfers leadership to the voter whose log is most up to
-// date. The members that are leaving get it only if no other voter can take it.
-// Proposals are refused meanwhile. If the transfer has not succeeded after an
-// election timeout, it is abandoned and this leader accepts proposals again.
-func (raft *Raft) TransferLeadership(now time.Time, leaving ...MemberID) error {
+// date, but to none of the excluded ones. Proposals are refused meanwhile. If the
+// transfer has not succeeded after an election timeout, it is abandoned and this
+// leader accepts proposals again.
+func (raft *Raft) TransferLeadership(now time.Time, excluded ...MemberID) error {
 	raft.advanceClock(now)
 	if raft.role != Leader {
 		return ErrNotLeader
 	}
-	target := raft.successor(leaving)
-	if target == 0 {
-		target = raft.successor(nil)
-	}
+	target := raft.successor(excluded)
 	if target == 0 {
 		return ErrNoSuccessor
 	}
@@ -28,6 +25,12 @@
 	return nil
 }
 
+// MayTransferLeadership reports whether this member leads and a voter that is not
+// excluded can take its leadership over.
+func (raft *Raft) MayTransferLeadership(excluded ...MemberID) bool {
+	return raft.role == Leader && raft.successor(excluded) != 0
+}
+
 // successor returns the other voter with the longest acknowledged log among
 // those that answered a recent heartbeat round and are not excluded, or zero.
 func (raft *Raft) successor(excluded []MemberID) MemberID {
--- a/internal/reconfigure/plan.go
+++ b/internal/reconfigure/plan.go
@@ -13,6 +13,11 @@
 // is a pure function.
 func Plan(options Options, status replica.Status, now time.Time) Change {
 	plan := planner{options: options, status: status, now: now}
+	return plan.next()
+}
+
+// next returns the change of the first step that applies.
+func (plan *planner) next() Change {
 	for _, step := range []func() Change{
 		plan.removeMemberWithLostDisk, plan.removeUnresponsiveLearner, plan.promoteLearner, plan.demoteLeavingVoter,
 		plan.demoteSurplusVoter, plan.replaceOlderVoter, plan.removeUnresponsiveVoter, plan.admitCandidates,
@@ -31,16 +36,6 @@
 	now     time.Time
 }
 
-// timeSinceAnswer returns how long ago the member last answered this leader, but at most how long
-// ago this leader began to send to it.
-func (plan *planner) timeSinceAnswer(peer raft.Peer) time.Duration {
-	latest := peer.LastReplyAt
-	if peer.TrackedSince.After(latest) {
-		latest = peer.TrackedSince
-	}
-	return plan.now.Sub(latest)
-}
-
 // responsive reports whether the member answered within responsiveWithin.
 func (plan *planner) responsive(peer raft.Peer) bool { return responsiveAt(peer, plan.now) }
 
@@ -67,21 +62,8 @@
 	}
 }
 
-const (
-	// minimumVoters is the least number of voters that a group wants.
-	minimumVoters = 3
-	// minimumVotersForZoneLoss is that number if all members of a zone may be lost at once.
-	minimumVotersForZoneLoss = 5
-)
-
 // wantedVoters returns the number of voters up to which learners are promoted.
-func (plan *planner) wantedVoters() int {
-	wanted := max(minimumVoters, 2*plan.options.ToleratedLosses+1)
-	if plan.options.ToleratesZoneLoss {
-		wanted = max(wanted, minimumVotersForZoneLoss)
-	}
-	return wanted
-}
+func (plan *planner) wantedVoters() int { return plan.options.WantedVoters() }
 
 // mayLoseVote reports whether the responsive voters other than the given one are a majority of the
 // voters without it.
@@ -117,7 +99,7 @@
 // removeUnresponsiveLearner removes a learner that has not answered for DropLearnerAfter.
 func (plan *planner) removeUnresponsiveLearner() Change {
 	for _, peer := range plan.status.Peers {
-		if peer.Learner && plan.timeSinceAnswer(peer) > plan.options.DropLearnerAfter {
+		if peer.Learner && peer.SilentFor(plan.now) > plan.options.DropLearnerAfter {
 			return Change{Kind: ChangeRemove, ID: peer.ID, Name: peer.Name, Cause: "the learner is silent"}
 		}
 	}
@@ -186,7 +168,7 @@
 		return Change{}
 	}
 	for _, peer := range plan.status.Peers {
-		if peer.Learner || peer.ID == plan.status.Self || plan.timeSinceAnswer(peer) <= plan.options.ReplaceVoterAfter {
+		if peer.Learner || peer.ID == plan.status.Self || peer.SilentFor(plan.now) <= plan.options.ReplaceVoterAfter {
 			continue
 		}
 		if plan.mayLoseVote(peer) {
--- a/internal/reconfigure/reconfigure.go
+++ b/internal/reconfigure/reconfigure.go
@@ -8,8 +8,10 @@
 //   - one membership change at a time, and only by a confirmed leader;
 //   - a voter loses its vote only if the other voters that respond are a majority of the voters
 //     after the change;
-//   - a voter that responds loses its vote only after a learner was promoted in its place, so that the
-//     group tolerates as many losses as before all the time;
+//   - a voter that responds loses its vote only while the group has more voters than it wants, so that
+//     the group tolerates as many losses as before all the time;
+//   - planned stops leave a majority of the voters running if as many members as are a majority of
+//     the wanted voters stay and are ready;
 //   - a voter that is unresponsive, but whose disk is not known to be lost, is removed only if a
 //     learner that has caught up can replace it at once, or the group has more voters than it wants.
 package reconfigure
@@ -65,6 +67,22 @@
 	}
 }
 
+const (
+	// minimumVoters is the least number of voters that a group wants.
+	minimumVoters = 3
+	// minimumVotersForZoneLoss is that number if all members of a zone may be lost at once.
+	minimumVotersForZoneLoss = 5
+)
+
+// WantedVoters returns the number of voters that the group wants.
+func (options Options) WantedVoters() int {
+	wanted := max(minimumVoters, 2*options.ToleratedLosses+1)
+	if options.ToleratesZoneLoss {
+		wanted = max(wanted, minimumVotersForZoneLoss)
+	}
+	return wanted
+}
+
 const (
 	// leaderSettleTime is how long a new leader waits before it proposes a change, so that every
 	// member has had time to answer it.
@@ -115,13 +133,17 @@
 	controller.propose(now, change)
 }
 
-// releaseLeaving releases the leaving members whose votes nobody will take over.
+// releaseLeaving releases the leaving members whose votes nobody will take over. The leader itself is
+// released by the member to which it hands leadership over.
 func (controller *Controller) releaseLeaving(status replica.Status, now time.Time) {
 	for _, id := range status.Leaving {
 		plan := planner{options: controller.options, status: status, now: now}
-		if !plan.awaitsReplacement(id) {
-			controller.group.Release(id)
+		if id == status.Self || plan.awaitsReplacement(id) {
+			continue
 		}
+		controller.logger.Info("leaving member released",
+			zap.Uint64("id", uint64(id)), zap.Bool("voter", plan.votes(id)), zap.Int("staying", plan.stayingVoters()))
+		controller.group.Release(id)
 	}
 }
 
--- a/internal/reconfigure/votes.go
+++ b/internal/reconfigure/votes.go
@@ -8,9 +8,10 @@
 	"merlinpaddle/internal/replica"
 )
 
-// demoteLeavingVoter demotes a voter that is leaving once enough others stay.
+// demoteLeavingVoter demotes a voter that is leaving while the group has more voters than it wants.
+// The votes of voters that stop count in the quorum, so that they must not outnumber those that stay.
 func (plan *planner) demoteLeavingVoter() Change {
-	if plan.stayingVoters() < plan.wantedVoters() {
+	if all, _ := plan.countVoters(); all <= plan.wantedVoters() {
 		return Change{}
 	}
 	for _, peer := range plan.status.Peers {
@@ -94,16 +95,22 @@
 // awaitsReplacement reports whether the leaving member has a vote that another member can take over,
 // so that it should not stop yet.
 func (plan *planner) awaitsReplacement(id replica.MemberID) bool {
-	committed := slices.IndexFunc(plan.status.Members, func(member replica.Member) bool { return member.ID == id })
-	if committed < 0 || plan.status.Members[committed].Learner {
+	if !plan.votes(id) {
 		return false
 	}
-	if plan.stayingVoters() >= plan.wantedVoters() {
+	if all, _ := plan.countVoters(); all > plan.wantedVoters() {
 		return true
 	}
 	return slices.ContainsFunc(plan.status.Peers, func(peer raft.Peer) bool {
 		demoted := peer.ID == id
-		replacement := !plan.leaving(peer.ID) && plan.timeSinceAnswer(peer) < responsiveWithin
+		replacement := !plan.leaving(peer.ID) && peer.SilentFor(plan.now) < responsiveWithin
 		return peer.Learner && (demoted || replacement)
 	})
 }
+
+// votes reports whether the member has a vote in the committed membership.
+func (plan *planner) votes(id replica.MemberID) bool {
+	return slices.ContainsFunc(plan.status.Members, func(member replica.Member) bool {
+		return member.ID == id && !member.Learner
+	})
+}
--- a/internal/reconfigure/votes_test.go
+++ b/internal/reconfigure/votes_test.go
@@ -41,6 +41,7 @@
 		{"silent learner", []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c"), peer(4, "d", learner, lastHeardAgo(long))}, []replica.MemberID{3}, false},
 		{"leaving learner", []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c"), peer(4, "d", learner)}, []replica.MemberID{3, 4}, false},
 		{"promoted learner", []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c"), peer(4, "d")}, []replica.MemberID{3}, true},
+		{"surplus voters without a learner", []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c"), peer(4, "d")}, []replica.MemberID{2, 3}, true},
 		{"no vote left", []raft.Peer{peer(1, "a"), peer(2, "b"), peer(3, "c", learner), peer(4, "d")}, []replica.MemberID{3}, false},
 		{"removed", []raft.Peer{peer(1, "a"), peer(2, "b"), peer(4, "d")}, []replica.MemberID{3}, false},
 	}
@@ -157,3 +158,117 @@
 	counts := CountMembers(applied(status, change), now)
 	return counts.ResponsiveVoters > counts.Voters/2
 }
+
+// plannedStops plays the planned stops of a group whose members all respond: membership changes,
+// releases, and the end of those that are released. Members that still wait at the end, for a learner
+// that has not caught up, stop when their time is over.
+type plannedStops struct {
+	options Options
+	status  replica.Status
+	ended   map[replica.MemberID]bool
+}
+
+// step plays the next event and reports whether there was one.
+func (stops *plannedStops) step() bool {
+	if stops.handOver() {
+		return true
+	}
+	plan := planner{options: stops.options, status: stops.status, now: now}
+	for _, id := range stops.status.Leaving {
+		if id != stops.status.Self && !plan.awaitsReplacement(id) {
+			stops.end(id)
+			return true
+		}
+	}
+	change := plan.next()
+	if change.Kind == ChangeNone {
+		return false
+	}
+	stops.status = applied(stops.status, change)
+	return true
+}
+
+// handOver passes leadership from a leaving leader to a voter that stays, if there is one.
+func (stops *plannedStops) handOver() bool {
+	if !slices.Contains(stops.status.Leaving, stops.status.Self) {
+		return false
+	}
+	for _, peer := range stops.status.Peers {
+		if !peer.Learner && !stops.ended[peer.ID] && !slices.Contains(stops.status.Leaving, peer.ID) {
+			stops.status.Self = peer.ID
+			return true
+		}
+	}
+	return false
+}
+
+// end makes a released member end.
+func (stops *plannedStops) end(id replica.MemberID) {
+	stops.ended[id] = true
+	stops.status.Leaving = slices.DeleteFunc(slices.Clone(stops.status.Leaving), func(other replica.MemberID) bool { return other == id })
+	for index := range stops.status.Peers {
+		if stops.status.Peers[index].ID == id {
+			lastHeardAgo(time.Minute)(&stops.status.Peers[index])
+			notCaughtUp(&stops.status.Peers[index])
+		}
+	}
+}
+
+// randomStops returns a group whose members all respond, some of which are leaving, and the number of
+// members that stay and are ready to vote.
+func randomStops(random *rand.Rand) (stops *plannedStops, ready int) {
+	var peers []raft.Peer
+	var leaving []replica.MemberID
+	for id := replica.MemberID(1); id <= replica.MemberID(3+random.IntN(8)); id++ {
+		changes := []func(*raft.Peer){inZone(model.ZoneName(rune('x' + random.IntN(3))))}
+		catchesUp := id > 1 && random.IntN(6) == 0
+		if catchesUp {
+			changes = append(changes, notCaughtUp)
+		}
+		if catchesUp || id > 1 && random.IntN(2) == 0 {
+			changes = append(changes, learner)
+		}
+		switch {
+		case random.IntN(2) == 0:
+			leaving = append(leaving, id)
+		case !catchesUp:
+			ready++
+		}
+		peers = append(peers, peer(id, model.NodeName(rune('a'+id)), changes...))
+	}
+	return &plannedStops{options: DefaultOptions(1 + random.IntN(2)), status: statusOf(peers, leaving...), ended: make(map[replica.MemberID]bool)}, ready
+}
+
+// TestPlannedStopsKeepAMajority guards against a group that planned stops alone end: leaving voters were
+// released with their votes although others could have taken them, and those that stayed were no
+// majority.
+func TestPlannedStopsKeepAMajority(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 20_000
+	properties := gopter.NewProperties(parameters)
+	properties.Property("those that stay are a majority", prop.ForAll(func(seed uint64) bool {
+		stops, ready := randomStops(rand.New(rand.NewPCG(seed, 5)))
+		for steps := 0; stops.step(); steps++ {
+			if steps == 100 {
+				t.Logf("seed %d: the stops do not end at %+v", seed, stops.status)
+				return false
+			}
+		}
+		voters, running := 0, 0
+		for _, peer := range stops.status.Peers {
+			if peer.Learner {
+				continue
+			}
+			voters++
+			if !stops.ended[peer.ID] && !slices.Contains(stops.status.Leaving, peer.ID) {
+				running++
+			}
+		}
+		held := ready <= stops.options.WantedVoters()/2 || running > voters/2
+		if !held {
+			t.Logf("seed %d: %d of %d voters stay; %d members were ready", seed, running, voters, ready)
+		}
+		return held
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
--- a/internal/replica/leave.go
+++ b/internal/replica/leave.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"merlinpaddle/internal/protocol"
@@ -11,6 +12,10 @@
 // request that arrives after the member has started again thus has no lasting effect.
 const leaveExpiry = time.Second
 
+// leaveRequestIntervals is the number of heartbeat intervals after which a new leader knows the leaving
+// members.
+const leaveRequestIntervals = 2
+
 // pendingLeave is a planned stop of this member that waits until the member may stop.
 type pendingLeave struct {
 	done func(outcome)
@@ -62,16 +67,41 @@
 	}
 }
 
-// transferBeforeLeave begins a transfer unless one is in progress. The only voter stops without.
+// transferBeforeLeave begins a transfer unless one is in progress. While all other voters are leaving
+// too and a learner can be promoted, the leader goes on leading: a leader needs some time before it
+// can change the membership, which no leader has if leaving members pass leadership on to each other.
+// The only voter stops without a transfer.
 func (controller *Controller) transferBeforeLeave(now time.Time) {
-	if controller.core.Configuration().VoterCount() == 1 {
+	expected := controller.replacementExpected(now)
+	if !expected && controller.core.Configuration().VoterCount() == 1 {
 		controller.finishLeave(outcome{err: controller.coreFault(raft.ErrNoSuccessor)})
 		return
 	}
-	if controller.transfer == nil {
-		// An error needs no handling: the transfer is attempted again.
-		controller.beginTransfer(now, request{kind: requestTransfer, done: func(outcome) {}})
+	if controller.transfer != nil || !controller.knowsLeaving(now) {
+		return
 	}
+	// An error needs no handling: the transfer is attempted again.
+	transfer := request{kind: requestTransfer, done: func(outcome) {}}
+	if expected {
+		controller.beginTransfer(now, transfer, controller.leavingMembers(now)...)
+		return
+	}
+	controller.transferToAny(now, transfer)
+}
+
+// knowsLeaving reports whether this leader has led for long enough that the LeaveRequests of all other
+// leaving members have arrived. They are repeated in each heartbeat interval.
+func (controller *Controller) knowsLeaving(now time.Time) bool {
+	return now.Sub(controller.core.Status(now).LeaderSince) >= leaveRequestIntervals*controller.options.HeartbeatInterval
+}
+
+// replacementExpected reports whether a learner that is not leaving answers this leader, so that it
+// gets a vote once it has caught up.
+func (controller *Controller) replacementExpected(now time.Time) bool {
+	leaving := controller.leavingMembers(now)
+	return slices.ContainsFunc(controller.core.Status(now).Peers, func(peer raft.Peer) bool {
+		return peer.Learner && !slices.Contains(leaving, peer.ID) && peer.SilentFor(now) < leaveExpiry
+	})
 }
 
 // handleLeaveMessages handles the messages of planned stops.
@@ -96,9 +126,13 @@
 	}
 }
 
-// leavingMembers returns the members whose LeaveRequests have not expired, sorted.
+// leavingMembers returns the members whose LeaveRequests have not expired, sorted. A leader that is
+// leaving itself is one of them.
 func (controller *Controller) leavingMembers(now time.Time) []MemberID {
 	var leaving []MemberID
+	if controller.leave != nil && controller.core != nil && controller.core.Role() == raft.Leader {
+		controller.leaving[controller.storage.identity.Member] = now
+	}
 	for _, id := range sortedKeys(controller.leaving) {
 		if now.Sub(controller.leaving[id]) > leaveExpiry {
 			delete(controller.leaving, id)
--- a/internal/replica/leave_test.go
+++ b/internal/replica/leave_test.go
@@ -106,3 +106,31 @@
 	cluster.run(leaveExpiry + time.Second)
 	require.Empty(t, cluster.awaitLeader().controller.StatusAt(cluster.now).Leaving)
 }
+
+// TestLeavingVotersKeepTheirLeader guards against leaving voters that pass leadership on to each other
+// until they end, so that no leader leads for long enough to promote the learners that could replace
+// them.
+func TestLeavingVotersKeepTheirLeader(t *testing.T) {
+	simulation := newSimulation(t, 36, "a", "b", "c", "d")
+	cluster := simulation.cluster
+	cluster.members["d"].joinsRunningGroup = true
+	cluster.adjustOptions = func(options *Options) { options.Members = []nodeName{"a", "b", "c"} }
+	cluster.startAll()
+	simulation.submitRate = 0
+	simulation.changeMembership("the learner", func() bool { return simulation.idOf("d") != 0 },
+		func(controller *Controller, done func(error)) {
+			controller.AddLearner("d", func(_ MemberID, err error) { done(err) })
+		})
+	for _, name := range []nodeName{"a", "b", "c"} {
+		leave(cluster.members[name])
+	}
+	cluster.run(2 * testElectionTimeout)
+	leader := cluster.awaitLeader()
+	term := leader.controller.StatusAt(cluster.now).Term
+	cluster.run(time.Second)
+	require.Equal(t, leader, cluster.awaitLeader())
+	require.Equal(t, term, leader.controller.StatusAt(cluster.now).Term)
+	require.Len(t, leader.controller.StatusAt(cluster.now).Leaving, 3, "the leader counts itself as leaving")
+	require.NoError(t, simulation.promote("d"))
+	cluster.runUntil(time.Second, "leadership of the member that stays", func() bool { return cluster.leader() == cluster.members["d"] })
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -66,16 +66,30 @@
 	}
 }
 
-// Leave prepares a planned stop. A leader hands over its leadership, and a voter waits until another
-// member has taken over its vote, if one can: otherwise the group counts the stopped member in its
-// quorum until the member has been silent for long. Leave takes at most limit, or at most
-// limitWithoutLearners if no member is a learner and thus none can take over a vote.
-func (node *Node) Leave(ctx context.Context, limit, limitWithoutLearners time.Duration, logger *zap.Logger) {
-	status := node.Status()
-	if !hasLearner(status.Members) {
-		limit = limitWithoutLearners
+// LeaveLimits bound the wait of a planned stop.
+type LeaveLimits struct {
+	// VoteMoves is the limit while the vote of the member can be withdrawn: a learner can take it
+	// over, or the group has more than WantedVoters.
+	VoteMoves    time.Duration
+	WantedVoters int
+	// Otherwise is the limit if only leadership has to be handed over.
+	Otherwise time.Duration
+}
+
+// of returns the limit in a group of the members.
+func (limits LeaveLimits) of(members []Member) time.Duration {
+	if (raft.Configuration{Members: members}).VoterCount() > limits.WantedVoters || hasLearner(members) {
+		return limits.VoteMoves
 	}
-	limited, cancel := context.WithTimeout(ctx, limit)
+	return limits.Otherwise
+}
+
+// Leave prepares a planned stop. A leader hands over its leadership, and a voter waits until its vote
+// is withdrawn, if it can be: otherwise the group counts the stopped member in its quorum until the
+// member has been silent for long.
+func (node *Node) Leave(ctx context.Context, limits LeaveLimits, logger *zap.Logger) {
+	status := node.Status()
+	limited, cancel := context.WithTimeout(ctx, limits.of(status.Members))
 	defer cancel()
 	started := time.Now()
 	ended := faults.New(faults.NoSuccessor, "no leader released this member before the limit of a planned stop")
--- a/internal/replica/proposals.go
+++ b/internal/replica/proposals.go
@@ -52,7 +52,7 @@
 		index, term, err := controller.core.Demote(now, request.member)
 		controller.trackProposal(request, index, term, request.member, err)
 	case requestTransfer:
-		controller.beginTransfer(now, request)
+		controller.transferToAny(now, request)
 	case requestLeave:
 		controller.beginLeave(request)
 	case requestRelease:
@@ -121,8 +121,19 @@
 	done(outcome{})
 }
 
-func (controller *Controller) beginTransfer(now time.Time, request request) {
-	if err := controller.core.TransferLeadership(now, controller.leavingMembers(now)...); err != nil {
+// transferToAny begins a transfer to any voter. Those that are leaving get leadership only if no other
+// voter can take it.
+func (controller *Controller) transferToAny(now time.Time, request request) {
+	if leaving := controller.leavingMembers(now); controller.core.MayTransferLeadership(leaving...) {
+		controller.beginTransfer(now, request, leaving...)
+		return
+	}
+	controller.beginTransfer(now, request)
+}
+
+// beginTransfer begins a transfer to a voter that is not excluded.
+func (controller *Controller) beginTransfer(now time.Time, request request, excluded ...MemberID) {
+	if err := controller.core.TransferLeadership(now, excluded...); err != nil {
 		request.done(outcome{err: controller.coreFault(err)})
 		return
 	}
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -171,6 +171,20 @@
 		summary: "one or two members at once are replaced as planned, with or without notice, and another one then loses its disk, is frozen or is cut off",
 		play:    plannedReplacements,
 	},
+	{
+		name:    "direct-replaced-core",
+		summary: "one to all members of the group stop as planned, at once or up to a second apart, after their successors started; another one is disturbed then",
+		play:    replacedCore,
+	},
+	{
+		name:    "direct-replaced-core-of-five",
+		summary: "the same in a group of five members that tolerates two losses",
+		change: func(options *Options) {
+			options.Members = 5
+			options.ToleratedLosses = 2
+		},
+		play: replacedCore,
+	},
 	{
 		name:    "direct-power-loss",
 		summary: "all processes repeatedly lose power at the same time, while configurations change",
--- a/internal/sim/mutant/direct.go
+++ b/internal/sim/mutant/direct.go
@@ -13,7 +13,9 @@
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/direct/transfer"
 	"merlinpaddle/internal/filesystem"
+	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/protocol"
+	"merlinpaddle/internal/raft"
 	"merlinpaddle/internal/replica"
 	"merlinpaddle/internal/sim"
 	"merlinpaddle/internal/sim/directworld"
@@ -93,6 +95,13 @@
 				return message, !isRequest
 			}),
 		},
+		{
+			Name:     "direct-leadership-passed-on",
+			Breaks:   "leaders hand over leadership to members that are leaving, again and again",
+			Expect:   []checker.Invariant{checker.InvariantProgress},
+			Scenario: namedScenario("direct-replaced-core"),
+			Variant:  passLeadershipToLeaving,
+		},
 		{
 			Name:     "direct-successor-unknown",
 			Breaks:   "new members do not tell their zones, so no vote moves to them before the members that they replace end",
@@ -306,6 +315,26 @@
 	}
 }
 
+// passLeadershipToLeaving makes members that asked for their release start an election whenever a leader
+// sends them a heartbeat.
+func passLeadershipToLeaving(_ *sim.Run, parts *world.Parts) {
+	leaving := make(map[model.NodeName]bool)
+	parts.Direct.MessageFilter = func(envelope protocol.Envelope) []protocol.Envelope {
+		sent := []protocol.Envelope{envelope}
+		switch message := envelope.Message.(type) {
+		case replica.LeaveRequest:
+			leaving[envelope.From] = true
+		case raft.Message:
+			if message.Kind == raft.MessageHeartbeat && leaving[envelope.To] {
+				message.Kind = raft.MessageTimeoutNow
+				envelope.Message = message
+				sent = append(sent, envelope)
+			}
+		}
+		return sent
+	}
+}
+
 // alwaysSufficient reports sufficient evidence for refusals from the start of a balancer.
 type alwaysSufficient struct {
 	steer.Loads
