raft, reconfigure: a ready learner takes over from a voter that has ended or is silent

Cause: a leader replaced a silent voter after 3 s, counted from its own election, although a learner was ready; and the end of a leader was found by the election timeout alone.

Change: voters that have not answered for an election timeout don't count among those that stay, so that a ready learner is promoted, and are then demoted instead of removed. A machine that refuses connections is evidence of an end: the leader acts on it at once, and followers of an ended leader elect the next one in turn. Candidates repeat their requests to voters that have not answered. A learner is promoted only if the responsive voters are a majority with it. The wait of a new leader is half an election timeout instead of 400 ms.

--- a/internal/direct/member/metrics.go
+++ b/internal/direct/member/metrics.go
@@ -21,7 +21,9 @@
 type metrics struct {
 	group     *replica.Controller
 	directory *directory.Directory
-	calls     *prometheus.HistogramVec
+	// membership are the options by which members count as responsive.
+	membership reconfigure.Options
+	calls      *prometheus.HistogramVec
 
 	leading         *prometheus.Desc
 	term            *prometheus.Desc
@@ -36,12 +38,12 @@
 	logBytes        *prometheus.Desc
 }
 
-func newMetrics(registry *prometheus.Registry, group *replica.Controller, state *directory.Directory, proposer *registrar.Proposer) *metrics {
+func newMetrics(registry *prometheus.Registry, group *replica.Controller, state *directory.Directory, membership reconfigure.Options, proposer *registrar.Proposer) *metrics {
 	describe := func(name, help string, labels ...string) *prometheus.Desc {
 		return prometheus.NewDesc("merlinpaddle_direct_"+name, help, labels, nil)
 	}
 	created := &metrics{
-		group: group, directory: state,
+		group: group, directory: state, membership: membership,
 		calls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "merlinpaddle_direct_call_seconds", Buckets: callBuckets,
 			Help: "Time of proposals and confirmed reads at this member, by the code of their outcome; 0 is a success.",
@@ -101,7 +103,7 @@
 	}
 	metrics.collectTargetAndMemberCounts(gauge, status)
 	if status.Leading {
-		counts := reconfigure.CountMembers(status, now)
+		counts := metrics.membership.CountMembers(status, now)
 		gauge(metrics.membersReady, float64(counts.ResponsiveVoters), "yes")
 		gauge(metrics.membersReady, float64(counts.ReadyLearners), "no")
 	}
--- a/internal/direct/member/module.go
+++ b/internal/direct/member/module.go
@@ -90,6 +90,7 @@
 			provideHealthMonitor,
 			providePublisher,
 			provideLoadCollection,
+			provideReconfigureOptions,
 			provideReconfigure,
 		),
 		fx.Provide(newMetrics),
@@ -150,12 +151,12 @@
 		mailbox, dispatcher, state, memberSource{group: group})
 }
 
-func provideReconfigure(chosen settings.Settings, group *replica.Controller, logger *zap.Logger) *reconfigure.Controller {
-	return reconfigure.New(reconfigureOptions(chosen), group, logger.Named("membership"))
+func provideReconfigure(options reconfigure.Options, group *replica.Controller, logger *zap.Logger) *reconfigure.Controller {
+	return reconfigure.New(options, group, logger.Named("membership"))
 }
 
-func reconfigureOptions(chosen settings.Settings) reconfigure.Options {
-	options := reconfigure.DefaultOptions(chosen.Direct.ToleratedLosses)
+func provideReconfigureOptions(chosen settings.Settings) reconfigure.Options {
+	options := reconfigure.DefaultOptions(chosen.Direct.ToleratedLosses, chosen.Direct.ElectionTimeout)
 	options.ToleratesZoneLoss = chosen.Direct.ToleratedZones > 0
 	return options
 }
@@ -200,6 +201,7 @@
 	Health         *registrar.HealthMonitor
 	Publisher      *feed.Publisher
 	LoadCollection loadCollection
+	Membership     reconfigure.Options
 	Reconfigure    *reconfigure.Controller
 	Histograms     *histograms
 	Reloads        *process.Reloads
@@ -207,6 +209,7 @@
 
 func run(params runParams) {
 	connections := newConnections(params)
+	params.Links.OnRefused(params.Group.PeerEnded)
 	params.Reloads.OnChange(func(changed settings.Settings) {
 		seeds := direct.SeedMembers(changed.Direct)
 		connections.setSeeds(seeds)
@@ -234,7 +237,7 @@
 		func(ctx context.Context) {
 			params.Node.Leave(ctx, replica.LeaveLimits{
 				VoteMoves:    leaveTimeout,
-				WantedVoters: reconfigureOptions(params.Settings).WantedVoters(),
+				WantedVoters: params.Membership.WantedVoters(),
 				Otherwise:    leaveTimeoutWithoutLearners,
 			}, params.Logger.Named("group"))
 		},
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -21,22 +21,31 @@
 		return
 	}
 	raft.leader = 0
-	kind := MessageVote
-	term := raft.term + 1
+	raft.campaignTransfer = transfer
 	if preVote {
 		raft.role = PreCandidate
-		kind = MessagePreVote
 	} else {
 		raft.role = Candidate
-		raft.term = term
+		raft.term++
 		raft.vote = raft.options.ID
 	}
 	raft.votes = map[MemberID]bool{raft.options.ID: true}
 	if raft.countVotes() {
 		return
 	}
+	raft.requestVotes()
+}
+
+// requestVotes sends the requests of the current campaign to the voters that have not answered. They are
+// repeated in each heartbeat interval, so that a lost message does not cost an election timeout.
+func (raft *Raft) requestVotes() {
+	raft.voteRequestsDue = raft.now.Add(raft.options.HeartbeatInterval)
+	kind, term := MessageVote, raft.term
+	if raft.role == PreCandidate {
+		kind, term = MessagePreVote, raft.term+1
+	}
 	for _, member := range raft.configuration().Members {
-		if member.Learner || member.ID == raft.options.ID {
+		if _, answered := raft.votes[member.ID]; member.Learner || answered {
 			continue
 		}
 		raft.send(Message{
@@ -45,7 +54,7 @@
 			Term:     term,
 			LogIndex: raft.log.lastIndex(),
 			LogTerm:  raft.log.lastTerm(),
-			Transfer: transfer,
+			Transfer: raft.campaignTransfer,
 		})
 	}
 }
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -139,7 +139,13 @@
 	currentAt time.Time
 	// leaderConfirmedAt is the latest confirmation time received from a leader.
 	leaderConfirmedAt time.Time
-	votes             map[MemberID]bool
+	// votes are the answers to the current campaign; nil without one. campaignTransfer reports whether
+	// the leader asked for the campaign, and voteRequestsDue is when its requests are repeated.
+	votes            map[MemberID]bool
+	campaignTransfer bool
+	voteRequestsDue  time.Time
+	// ended has the members whose processes have ended, as far as this member knows.
+	ended map[MemberID]bool
 
 	// The fields below are used by the leader only.
 	leaderSince       time.Time
@@ -180,6 +186,7 @@
 		term:     state.HardState.Term,
 		vote:     state.HardState.Vote,
 		snapshot: state.Snapshot,
+		ended:    make(map[MemberID]bool),
 	}
 	raft.log.restore(state.Snapshot.SnapshotMeta)
 	raft.configurations = []loggedConfiguration{{
@@ -265,6 +272,10 @@
 	}
 	if !raft.now.Before(raft.electionDeadline) {
 		raft.campaign(true, false)
+		return
+	}
+	if raft.votes != nil && !raft.now.Before(raft.voteRequestsDue) {
+		raft.requestVotes()
 	}
 }
 
@@ -300,6 +311,7 @@
 	if raft.committedConfiguration().Removed(message.From) {
 		return
 	}
+	delete(raft.ended, message.From)
 	if !raft.checkTerm(message) {
 		return
 	}
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -125,6 +125,8 @@
 	// CaughtUp reports whether the member holds every committed entry and
 	// answered a recent heartbeat round.
 	CaughtUp bool
+	// Ended reports whether the member's process is known to have ended (PeerEnded).
+	Ended bool
 }
 
 // SilentFor returns how long ago the member last answered this leader, but at most
@@ -170,7 +172,7 @@
 	members := raft.configuration().Members
 	peers := make([]Peer, 0, len(members))
 	for _, member := range members {
-		peer := Peer{Member: member, CaughtUp: raft.caughtUp(member.ID)}
+		peer := Peer{Member: member, CaughtUp: raft.caughtUp(member.ID), Ended: raft.ended[member.ID]}
 		if progress := raft.progress[member.ID]; progress != nil {
 			peer.TrackedSince = progress.trackedSince
 			peer.LastReplyAt = progress.lastReplyAt
--- a/internal/reconfigure/counts.go
+++ b/internal/reconfigure/counts.go
@@ -7,11 +7,10 @@
 	"merlinpaddle/internal/replica"
 )
 
-// responsiveWithin is how recently a member must have answered the leader to count as responsive.
-const responsiveWithin = time.Second
-
-func responsiveAt(peer raft.Peer, now time.Time) bool {
-	return !peer.LastReplyAt.IsZero() && now.Sub(peer.LastReplyAt) < responsiveWithin
+// responsive reports whether the member answered this leader within silentAfter, and has not ended
+// since.
+func responsive(peer raft.Peer, silentAfter time.Duration, now time.Time) bool {
+	return !peer.Ended && !peer.LastReplyAt.IsZero() && now.Sub(peer.LastReplyAt) < silentAfter
 }
 
 // MemberCounts are the numbers of members as the leader sees them.
@@ -25,19 +24,19 @@
 
 // CountMembers counts the members in the status of a leader. At a member that does not lead, all
 // counts are zero.
-func CountMembers(status replica.Status, now time.Time) MemberCounts {
+func (options Options) CountMembers(status replica.Status, now time.Time) MemberCounts {
 	var counts MemberCounts
 	for _, peer := range status.Peers {
-		responsive := responsiveAt(peer, now)
+		answers := responsive(peer, options.SilentAfter, now)
 		switch {
 		case peer.Learner:
 			counts.Learners++
-			if responsive && peer.CaughtUp {
+			if answers && peer.CaughtUp {
 				counts.ReadyLearners++
 			}
 		default:
 			counts.Voters++
-			if responsive {
+			if answers {
 				counts.ResponsiveVoters++
 			}
 		}
--- a/internal/reconfigure/plan.go
+++ b/internal/reconfigure/plan.go
@@ -19,8 +19,8 @@
 // next returns the change of the first step that applies.
 func (plan *planner) next() Change {
 	for _, step := range []func() Change{
-		plan.removeMemberWithLostDisk, plan.removeUnresponsiveLearner, plan.promoteLearner, plan.demoteLeavingVoter,
-		plan.demoteSurplusVoter, plan.replaceOlderVoter, plan.removeUnresponsiveVoter, plan.admitCandidates,
+		plan.removeMemberWithLostDisk, plan.removeUnresponsiveLearner, plan.promoteLearner, plan.demoteSilentVoter, plan.demoteLeavingVoter,
+		plan.demoteSurplusVoter, plan.replaceOlderVoter, plan.admitCandidates,
 	} {
 		if change := step(); change.Kind != ChangeNone {
 			return change
@@ -36,18 +36,26 @@
 	now     time.Time
 }
 
-// responsive reports whether the member answered within responsiveWithin.
-func (plan *planner) responsive(peer raft.Peer) bool { return responsiveAt(peer, plan.now) }
+// responsive reports whether the member answered within SilentAfter, and has not ended since.
+func (plan *planner) responsive(peer raft.Peer) bool {
+	return responsive(peer, plan.options.SilentAfter, plan.now)
+}
+
+// silent reports whether the member has ended, or has not answered for SilentAfter although this leader
+// sent to it. A member that this leader has just begun to send to is neither responsive nor silent.
+func (plan *planner) silent(peer raft.Peer) bool {
+	return peer.ID != plan.status.Self && (peer.Ended || peer.SilentFor(plan.now) >= plan.options.SilentAfter)
+}
 
 // countVoters returns the number of voters, and the number of those that are responsive.
 func (plan *planner) countVoters() (all, responsive int) {
-	counts := CountMembers(plan.status, plan.now)
+	counts := plan.options.CountMembers(plan.status, plan.now)
 	return counts.Voters, counts.ResponsiveVoters
 }
 
 // standbyReason returns why the group's learners have no vote, or an empty string if there are none.
 func (plan *planner) standbyReason() string {
-	counts := CountMembers(plan.status, plan.now)
+	counts := plan.options.CountMembers(plan.status, plan.now)
 	switch {
 	case counts.Learners == 0:
 		return ""
@@ -56,7 +64,7 @@
 	case counts.ResponsiveVoters <= counts.Voters/2:
 		return "too few voters respond to change the membership"
 	case counts.ResponsiveVoters < counts.Voters:
-		return "a silent voter keeps its vote until it is replaced"
+		return "a silent voter keeps its vote until a learner is ready"
 	default:
 		return "the group has all the voters that it wants"
 	}
@@ -138,11 +146,11 @@
 	return best, found
 }
 
-// stayingVoters returns the number of voters that are not leaving.
+// stayingVoters returns the number of voters that are neither leaving nor silent.
 func (plan *planner) stayingVoters() int {
 	staying := 0
 	for _, peer := range plan.status.Peers {
-		if !peer.Learner && !plan.leaving(peer.ID) {
+		if !peer.Learner && !plan.leaving(peer.ID) && !plan.silent(peer) {
 			staying++
 		}
 	}
@@ -150,29 +158,27 @@
 }
 
 // promoteLearner promotes a learner if the group has fewer voters than it wants, those that are
-// leaving not counted.
+// leaving or silent not counted.
 func (plan *planner) promoteLearner() Change {
 	learner, found := plan.replacementLearner()
-	if !found || plan.stayingVoters() >= plan.wantedVoters() {
+	all, responsive := plan.countVoters()
+	majority := responsive+1 > (all+1)/2
+	if !found || !majority || plan.stayingVoters() >= plan.wantedVoters() {
 		return Change{}
 	}
 	return Change{Kind: ChangePromote, ID: learner.ID, Name: learner.Name, Cause: "the group wants more voters that stay"}
 }
 
-// removeUnresponsiveVoter removes a voter that has not answered for ReplaceVoterAfter, if a learner is
-// ready to replace it or the group has more voters than it wants. If the group then has fewer voters
-// than it wants, the next change promotes the learner.
-func (plan *planner) removeUnresponsiveVoter() Change {
-	all, _ := plan.countVoters()
-	if _, found := plan.replacementLearner(); !found && all <= plan.wantedVoters() {
+// demoteSilentVoter demotes a voter that is silent while the group has more voters than it wants, which
+// it has once a learner was promoted in the voter's place. The member keeps its log, and is ready to be
+// promoted again soon after it comes back.
+func (plan *planner) demoteSilentVoter() Change {
+	if all, _ := plan.countVoters(); all <= plan.wantedVoters() {
 		return Change{}
 	}
 	for _, peer := range plan.status.Peers {
-		if peer.Learner || peer.ID == plan.status.Self || peer.SilentFor(plan.now) <= plan.options.ReplaceVoterAfter {
-			continue
-		}
-		if plan.mayLoseVote(peer) {
-			return Change{Kind: ChangeRemove, ID: peer.ID, Name: peer.Name, Cause: "the voter is silent and can be replaced"}
+		if !peer.Learner && plan.silent(peer) && plan.mayLoseVote(peer) {
+			return Change{Kind: ChangeDemote, ID: peer.ID, Name: peer.Name, Cause: "the voter is silent and was replaced"}
 		}
 	}
 	return Change{}
--- a/internal/reconfigure/reconfigure.go
+++ b/internal/reconfigure/reconfigure.go
@@ -1,8 +1,7 @@
 // Package reconfigure keeps the control group at its wanted number of voters without an operator. It
 // admits processes with empty disks as learners, promotes learners to voters, moves the votes of
-// members that stop as planned or are about to be replaced to learners, removes members whose disks
-// were lost, removes unresponsive learners, and removes unresponsive voters once a learner can
-// replace them.
+// members that stop as planned, are about to be replaced or are silent to learners, and removes members
+// whose disks were lost and unresponsive learners.
 //
 // Invariants:
 //   - one membership change at a time, and only by a confirmed leader;
@@ -12,8 +11,9 @@
 //     the group tolerates as many losses as before all the time;
 //   - planned stops leave a majority of the voters running if as many members as are a majority of
 //     the wanted voters stay and are ready;
-//   - a voter that is unresponsive, but whose disk is not known to be lost, is removed only if a
-//     learner that has caught up can replace it at once, or the group has more voters than it wants.
+//   - a voter that is silent, but whose disk is not known to be lost, keeps its place and its log: it
+//     is demoted once a learner that has caught up was promoted in its place, or if the group has more
+//     voters than it wants.
 package reconfigure
 
 import (
@@ -51,19 +51,26 @@
 	// ToleratesZoneLoss means that all members of a zone may be lost at once. The group then wants
 	// at least five voters, spread over the zones.
 	ToleratesZoneLoss bool
-	// ReplaceVoterAfter is how long a voter may be unresponsive before a learner replaces it.
-	ReplaceVoterAfter time.Duration
+	// SilentAfter is how long a member may leave the leader without an answer before it counts as
+	// silent. A learner that is ready then takes over the vote of a silent voter.
+	SilentAfter time.Duration
+	// SettleAfter is how long a new leader waits before it proposes a change, so that every member
+	// has had time to answer it and to tell it that it is leaving.
+	SettleAfter time.Duration
 	// DropLearnerAfter is how long a learner may be unresponsive before it is removed. If it comes
 	// back, it asks to be admitted as a new learner.
 	DropLearnerAfter time.Duration
 }
 
-// DefaultOptions returns the default options of a group that tolerates the given losses.
-func DefaultOptions(toleratedLosses int) Options {
+// DefaultOptions returns the default options of a group that tolerates the given losses and has the
+// given election timeout. The silence after which a follower replaces its leader is also that after
+// which the leader replaces a voter.
+func DefaultOptions(toleratedLosses int, electionTimeout time.Duration) Options {
 	return Options{
-		ToleratedLosses:   toleratedLosses,
-		ReplaceVoterAfter: 3 * time.Second,
-		DropLearnerAfter:  10 * time.Second,
+		ToleratedLosses:  toleratedLosses,
+		SilentAfter:      electionTimeout,
+		SettleAfter:      electionTimeout / 2,
+		DropLearnerAfter: 10 * time.Second,
 	}
 }
 
@@ -83,13 +90,8 @@
 	return wanted
 }
 
-const (
-	// leaderSettleTime is how long a new leader waits before it proposes a change, so that every
-	// member has had time to answer it.
-	leaderSettleTime = 400 * time.Millisecond
-	// changeTimeout is how long a proposed change may take before the next one is proposed.
-	changeTimeout = 2 * time.Second
-)
+// changeTimeout is how long a proposed change may take before the next one is proposed.
+const changeTimeout = 2 * time.Second
 
 // Controller proposes membership changes while its member is the leader.
 type Controller struct {
@@ -118,7 +120,7 @@
 	if status.Leading {
 		controller.releaseLeaving(status, now)
 	}
-	if !status.Leading || now.Sub(status.LeaderSince) < leaderSettleTime {
+	if !status.Leading || now.Sub(status.LeaderSince) < controller.options.SettleAfter {
 		controller.pendingSince = time.Time{}
 		return
 	}
@@ -158,7 +160,7 @@
 	if reason == "" {
 		return
 	}
-	counts := CountMembers(status, now)
+	counts := controller.options.CountMembers(status, now)
 	controller.logger.Info("no membership change for learners",
 		zap.String("cause", reason),
 		zap.Int("voters", counts.Voters), zap.Int("responsive", counts.ResponsiveVoters),
--- a/internal/reconfigure/votes.go
+++ b/internal/reconfigure/votes.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/raft"
@@ -49,7 +50,7 @@
 // if both stay, it does not matter which of them votes. demoteSurplusVoter then withdraws the older
 // vote. A group with as many learners as voters has replacements at hand, and keeps its voters.
 func (plan *planner) replaceOlderVoter() Change {
-	counts := CountMembers(plan.status, plan.now)
+	counts := plan.options.CountMembers(plan.status, plan.now)
 	wanted := plan.wantedVoters()
 	if counts.Voters != wanted || plan.stayingVoters() < wanted || counts.ResponsiveVoters < wanted || counts.Learners >= wanted {
 		return Change{}
@@ -92,6 +93,10 @@
 	return change
 }
 
+// replacementSilence is how long a learner may be silent until leaving voters no longer wait for it. It
+// is longer than SilentAfter, because a learner may be busy with a snapshot.
+const replacementSilence = time.Second
+
 // awaitsReplacement reports whether the leaving member has a vote that another member can take over,
 // so that it should not stop yet.
 func (plan *planner) awaitsReplacement(id replica.MemberID) bool {
@@ -103,7 +108,7 @@
 	}
 	return slices.ContainsFunc(plan.status.Peers, func(peer raft.Peer) bool {
 		demoted := peer.ID == id
-		replacement := !plan.leaving(peer.ID) && peer.SilentFor(plan.now) < responsiveWithin
+		replacement := !plan.leaving(peer.ID) && !peer.Ended && peer.SilentFor(plan.now) < replacementSilence
 		return peer.Learner && (demoted || replacement)
 	})
 }
--- a/internal/replica/leave.go
+++ b/internal/replica/leave.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/protocol"
 	"merlinpaddle/internal/raft"
 )
@@ -100,7 +101,7 @@
 func (controller *Controller) replacementExpected(now time.Time) bool {
 	leaving := controller.leavingMembers(now)
 	return slices.ContainsFunc(controller.core.Status(now).Peers, func(peer raft.Peer) bool {
-		return peer.Learner && !slices.Contains(leaving, peer.ID) && peer.SilentFor(now) < leaveExpiry
+		return peer.Learner && !slices.Contains(leaving, peer.ID) && !peer.Ended && peer.SilentFor(now) < leaveExpiry
 	})
 }
 
@@ -126,6 +127,21 @@
 	}
 }
 
+// PeerEnded tells the member that the process of a node has ended: its machine refused a connection. It
+// is safe for concurrent use.
+func (controller *Controller) PeerEnded(node model.NodeName) {
+	controller.enqueue(request{kind: requestPeerEnded, node: node, done: func(outcome) {}})
+}
+
+// recordPeerEnded handles a requestPeerEnded.
+func (controller *Controller) recordPeerEnded(now time.Time, node model.NodeName) {
+	for _, member := range controller.core.Configuration().Members {
+		if member.Name == node {
+			controller.core.PeerEnded(now, member.ID)
+		}
+	}
+}
+
 // leavingMembers returns the members whose LeaveRequests have not expired, sorted. A leader that is
 // leaving itself is one of them.
 func (controller *Controller) leavingMembers(now time.Time) []MemberID {
--- a/internal/replica/proposals.go
+++ b/internal/replica/proposals.go
@@ -58,6 +58,9 @@
 	case requestRelease:
 		controller.release(request.member)
 		request.done(outcome{})
+	case requestPeerEnded:
+		controller.recordPeerEnded(now, request.node)
+		request.done(outcome{})
 	}
 }
 
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -22,6 +22,7 @@
 	requestDemote
 	requestLeave
 	requestRelease
+	requestPeerEnded
 )
 
 // request is one call that is queued for the controller.
@@ -31,7 +32,9 @@
 	// learners are the members that a requestAddLearner adds.
 	learners []raft.NewLearner
 	member   MemberID
-	done     func(outcome)
+	// node is the node whose process has ended, of a requestPeerEnded.
+	node model.NodeName
+	done func(outcome)
 }
 
 // outcome is the answer to a request.
--- a/internal/sim/directworld/member.go
+++ b/internal/sim/directworld/member.go
@@ -108,7 +108,7 @@
 	}
 	world.options.Parts.CollectorOptions(&collectorOptions)
 	collector := load.NewCollector(mailbox.Self, collectorOptions, load.MailboxSender{Mailbox: mailbox}, dispatcher.Handle(load.Report{}))
-	reconfigurer := reconfigure.New(reconfigure.DefaultOptions(world.options.ToleratedLosses), group, zap.NewNop())
+	reconfigurer := reconfigure.New(world.reconfigureOptions(), group, zap.NewNop())
 	return kernel.Program{
 		Mailbox:     mailbox,
 		Controllers: []board.Controller{dispatcher, group, proposer, health, publisher, collector, reconfigurer},
@@ -200,6 +200,35 @@
 func (member *Member) Kill() {
 	member.world.recordDisturbance("kill", string(member.process.Name))
 	member.process.Kill()
+	if member.world.options.EndsAreNoticed {
+		member.world.noticeEnd(member)
+	}
+}
+
+// maxReconnectDelay is the maximum time after the end of a process until another one tries to connect
+// to it again and is refused.
+const maxReconnectDelay = 40 * time.Millisecond
+
+// noticeEnd makes the other members learn that the machine of an ended member refuses connections.
+func (world *World) noticeEnd(ended *Member) {
+	for _, other := range world.members {
+		if other == ended {
+			continue
+		}
+		world.after(world.random.Between(10*time.Millisecond, maxReconnectDelay), func() {
+			if other.process.Active() && !ended.process.Running() {
+				world.options.Parts.NoticeEnd(other.group, ended.process.Name)
+				other.process.Wake()
+			}
+		})
+	}
+}
+
+// reconfigureOptions returns the options of a member's membership controller.
+func (world *World) reconfigureOptions() reconfigure.Options {
+	options := reconfigure.DefaultOptions(world.options.ToleratedLosses, electionTimeout)
+	world.options.Parts.ReconfigureOptions(&options)
+	return options
 }
 
 // listed returns the members that targets and operators call.
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -185,6 +185,17 @@
 		},
 		play: replacedCore,
 	},
+	{
+		name:    "direct-unannounced-ends",
+		summary: "members end without notice while successors in other zones run, and one more is lost once the vote has moved",
+		play:    unannouncedEnds,
+	},
+	{
+		name:    "direct-noticed-ends",
+		summary: "the same while machines without a process refuse connections; one more is lost within a second",
+		change:  func(options *Options) { options.EndsAreNoticed = true },
+		play:    unannouncedEnds,
+	},
 	{
 		name:    "direct-power-loss",
 		summary: "all processes repeatedly lose power at the same time, while configurations change",
--- a/internal/sim/directworld/stories_replacement.go
+++ b/internal/sim/directworld/stories_replacement.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"merlinpaddle/internal/checker"
@@ -63,3 +64,51 @@
 		world.checks.violate(checker.InvariantProgress, "no member leads "+when, arguments...)
 	}
 }
+
+// unannouncedEnds ends members without notice, some rounds after each other. Before each end, one to as
+// many successors as the group has voters start in random zones. Once the vote of the ended member has
+// moved, another member loses its disk, is frozen or is cut off. The group has to have a leader
+// afterwards.
+func unannouncedEnds(world *World) {
+	current := append([]*Member(nil), world.members...)
+	for round := range 3 {
+		for index := range 1 + world.random.IntN(len(current)) {
+			current = append(current, world.addSuccessor(round, index))
+		}
+		world.RunFor(catchUpTime)
+		position := world.random.IntN(len(current))
+		if leader := slices.Index(current, world.leader()); leader >= 0 && world.random.Chance(0.5) {
+			position = leader
+		}
+		ended := current[position]
+		current = slices.Delete(current, position, position+1)
+		ended.delisted = true
+		ended.Kill()
+		world.RunFor(world.voteMoveTime())
+		world.disturbMember(kernel.Pick(world.random, current))
+		world.RunFor(leaderBound)
+		world.requireLeader("after %s ended without notice in round %d, and one more loss", ended.process.Name, round)
+		world.RunFor(6 * time.Second)
+		current = world.endSurplus(current)
+	}
+}
+
+// voteMoveTime returns the time within which a voter that ended without notice loses its vote.
+func (world *World) voteMoveTime() time.Duration {
+	if world.options.EndsAreNoticed {
+		return endedVoterTime
+	}
+	return silentVoterTime
+}
+
+// endSurplus stops members as planned until the initial number is left, and returns those.
+func (world *World) endSurplus(current []*Member) []*Member {
+	for len(current) > world.options.Members {
+		surplus := current[0]
+		current = current[1:]
+		surplus.delisted = true
+		surplus.Stop()
+		world.RunFor(leaveTimeout)
+	}
+	return current
+}
--- a/internal/sim/directworld/world.go
+++ b/internal/sim/directworld/world.go
@@ -18,6 +18,7 @@
 	"merlinpaddle/internal/direct/transfer"
 	"merlinpaddle/internal/filesystem"
 	"merlinpaddle/internal/model"
+	"merlinpaddle/internal/reconfigure"
 	"merlinpaddle/internal/replica"
 	"merlinpaddle/internal/sim"
 	"merlinpaddle/internal/sim/kernel"
@@ -34,6 +35,10 @@
 	SteerOptions func(options *steer.Options)
 	// CollectorOptions changes the options by which members sum up the load of targets.
 	CollectorOptions func(options *load.CollectorOptions)
+	// ReconfigureOptions changes the options by which members change the membership.
+	ReconfigureOptions func(options *reconfigure.Options)
+	// NoticeEnd tells a member that the process of a node has ended.
+	NoticeEnd func(group *replica.Controller, ended model.NodeName)
 	// StateMachine wraps the replicated state of a member.
 	StateMachine func(standard replica.StateMachine) replica.StateMachine
 	// Disk wraps a member's disk.
@@ -50,11 +55,13 @@
 		Decide: func(table *steer.Table, segment steer.Segment, now time.Time) steer.Decision {
 			return table.Decide(segment, now)
 		},
-		TransferOptions:  func(*transfer.Options) {},
-		SteerOptions:     func(*steer.Options) {},
-		CollectorOptions: func(*load.CollectorOptions) {},
-		StateMachine:     func(standard replica.StateMachine) replica.StateMachine { return standard },
-		Disk:             func(standard filesystem.FileSystem) filesystem.FileSystem { return standard },
+		TransferOptions:    func(*transfer.Options) {},
+		SteerOptions:       func(*steer.Options) {},
+		CollectorOptions:   func(*load.CollectorOptions) {},
+		ReconfigureOptions: func(*reconfigure.Options) {},
+		NoticeEnd:          (*replica.Controller).PeerEnded,
+		StateMachine:       func(standard replica.StateMachine) replica.StateMachine { return standard },
+		Disk:               func(standard filesystem.FileSystem) filesystem.FileSystem { return standard },
 		ReadConfiguration: func(member *Member, now, deadline time.Time, done func(*declared.Configuration, error)) {
 			member.Registrar.Configuration(now, deadline, done)
 		},
@@ -83,6 +90,9 @@
 	LinkRate, LinkShare float64
 	// ColdLimit is the limit for cold targets that operators declare.
 	ColdLimit declared.ColdLimit
+	// EndsAreNoticed makes members learn within maxReconnectDelay that another one has ended, as they
+	// do if its machine refuses connections.
+	EndsAreNoticed bool
 	// Skewed gives every process a random clock offset and drift.
 	Skewed bool
 	Parts  Parts
--- a/internal/sim/mutant/direct.go
+++ b/internal/sim/mutant/direct.go
@@ -16,6 +16,7 @@
 	"merlinpaddle/internal/model"
 	"merlinpaddle/internal/protocol"
 	"merlinpaddle/internal/raft"
+	"merlinpaddle/internal/reconfigure"
 	"merlinpaddle/internal/replica"
 	"merlinpaddle/internal/sim"
 	"merlinpaddle/internal/sim/directworld"
@@ -102,6 +103,24 @@
 			Scenario: namedScenario("direct-replaced-core"),
 			Variant:  passLeadershipToLeaving,
 		},
+		{
+			Name:     "direct-silent-voters-kept",
+			Breaks:   "a voter that ended without notice keeps its vote for three seconds",
+			Expect:   []checker.Invariant{checker.InvariantProgress},
+			Scenario: namedScenario("direct-unannounced-ends"),
+			Variant: func(_ *sim.Run, parts *world.Parts) {
+				parts.Direct.ReconfigureOptions = func(options *reconfigure.Options) { options.SilentAfter = 3 * time.Second }
+			},
+		},
+		{
+			Name:     "direct-ends-unnoticed",
+			Breaks:   "members do not act on the end of another one before it has been silent",
+			Expect:   []checker.Invariant{checker.InvariantProgress},
+			Scenario: namedScenario("direct-noticed-ends"),
+			Variant: func(_ *sim.Run, parts *world.Parts) {
+				parts.Direct.NoticeEnd = func(*replica.Controller, model.NodeName) {}
+			},
+		},
 		{
 			Name:     "direct-successor-unknown",
 			Breaks:   "new members do not tell their zones, so no vote moves to them before the members that they replace end",
--- a/internal/transport/links.go
+++ b/internal/transport/links.go
@@ -98,6 +98,9 @@
 	// by the name of the peer.
 	outgoing map[model.NodeName]*outgoingLink
 	incoming map[model.NodeName]*connection
+	// refused is called with the name of a dialled peer whose machine refused a connection; nil for
+	// no call.
+	refused func(peer model.NodeName)
 	// tasks has the goroutines of accepted connections and outgoing links.
 	tasks sync.WaitGroup
 }
@@ -183,6 +186,11 @@
 	}
 }
 
+// OnRefused sets the function that is called when the machine of a dialled peer refuses a connection,
+// which means that no process listens there. It is called a few times after each loss of the connection.
+// It must return quickly. OnRefused must be called before Run.
+func (links *Links) OnRefused(notify func(peer model.NodeName)) { links.refused = notify }
+
 // Disconnect closes the connection to a dialled peer and does not reconnect. Queued messages to the
 // peer are dropped.
 func (links *Links) Disconnect(peer model.NodeName) {
--- a/internal/transport/links_test.go
+++ b/internal/transport/links_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"path/filepath"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -263,6 +264,33 @@
 	sendUntilReceived(t, agent, "relay-1", protocol.Heartbeat{Sequence: 2}, restarted)
 }
 
+// TestRefusedConnectionsAreReported checks that the end of a peer is reported, a bounded number of times
+// after each connection. A connection that is only closed is not an end.
+func TestRefusedConnectionsAreReported(t *testing.T) {
+	relay, stop := startStoppableEndpoint(t, endpointOptions{name: "relay-1", role: model.RoleRelay})
+	address := relay.links.Address().String()
+	agent := startEndpoint(t, endpointOptions{name: "agent-1", role: model.RoleAgent})
+	var refusals atomic.Int32
+	agent.links.OnRefused(func(peer model.NodeName) {
+		if peer == "relay-1" {
+			refusals.Add(1)
+		}
+	})
+	agent.links.Dial(relay.peer("relay-1"))
+	sendUntilReceived(t, agent, "relay-1", protocol.Heartbeat{Sequence: 1}, relay)
+	_ = relay.links.incomingFrom("agent-1").stream.Close()
+	sendUntilReceived(t, agent, "relay-1", protocol.Heartbeat{Sequence: 2}, relay)
+	require.Zero(t, refusals.Load())
+	for ends := range int32(2) {
+		stop()
+		require.Eventually(t, func() bool { return refusals.Load() == (ends+1)*maxReportedRefusals }, conditionTimeout, conditionPoll)
+		relay, stop = startStoppableEndpoint(t, endpointOptions{name: "relay-1", role: model.RoleRelay, listen: address})
+		sendUntilReceived(t, agent, "relay-1", protocol.Heartbeat{Sequence: 3}, relay)
+		require.Equal(t, (ends+1)*maxReportedRefusals, refusals.Load())
+	}
+	stop()
+}
+
 // TestHalfOpenConnectionTimesOut connects to a peer that completes the handshake and then sends
 // nothing more, like a machine that lost power. The read timeout must end the connection.
 func TestHalfOpenConnectionTimesOut(t *testing.T) {
--- a/internal/transport/outgoing.go
+++ b/internal/transport/outgoing.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,6 +28,8 @@
 	// stopped is closed by stop.
 	stopped  chan struct{}
 	stopOnce sync.Once
+	// refusals is the number of refused attempts since the last connection. Only run uses it.
+	refusals int
 
 	lock    sync.Mutex
 	address string
@@ -105,6 +109,7 @@
 		return false, err
 	}
 	link.connected.Store(true)
+	link.refusals = 0
 	options.Logger.Info("link up", zap.String("peer", string(link.peer)), zap.String("address", link.currentAddress()))
 	options.Metrics.connections.Inc()
 	defer options.Metrics.connections.Dec()
@@ -120,6 +125,7 @@
 	var dialer net.Dialer
 	raw, err := dialer.DialContext(connectContext, "tcp", link.currentAddress())
 	if err != nil {
+		link.reportRefusal(err)
 		return nil, faults.New(faults.CodeLinkBroken, "%v", err)
 	}
 	metered := options.Metrics.meter(raw, options.Timing)
@@ -134,6 +140,25 @@
 	return secured, nil
 }
 
+// maxReportedRefusals bounds the reported refusals after the loss of a connection. One could be
+// outrun by messages that the peer sent before it ended.
+const maxReportedRefusals = 3
+
+// reportRefusal reports that the peer's machine refused a connection, if that is the cause of a failed
+// attempt.
+func (link *outgoingLink) reportRefusal(cause error) {
+	if !errors.Is(cause, syscall.ECONNREFUSED) || link.links.refused == nil {
+		return
+	}
+	link.refusals++
+	if link.refusals == 1 {
+		link.links.options.Logger.Info("connection refused by the peer's machine", zap.String("peer", string(link.peer)))
+	}
+	if link.refusals <= maxReportedRefusals {
+		link.links.refused(link.peer)
+	}
+}
+
 // handshake exchanges hellos with the peer. It checks that the peer has the expected name and accepts
 // connections from this process's role.
 func (link *outgoingLink) handshake(connection *connection) error {
