directory: a departure covers every start up to the one that left

What callers saw: a target restarted under its identifier, or was new, and announced that it leaves while its first heartbeat was late.

Cause: markLeft neither applied nor kept the notice of a later start while the record of an earlier one had not failed, and a notice without a start was kept as start zero, which covers no registration that tells a start. Evidence: "target leaves" without an error, followed by "target registered" of the same start as ready. The line now tells the recorded start and state.

Change: a notice marks the record as left if that is of its start or an earlier one, and is kept unless the record is that of the start itself; one without a start covers the starts up to its log time plus 2 s, for 20 s. The latest start that left wins over a late repetition of an earlier notice.

--- a/internal/direct/directory/apply.go
+++ b/internal/direct/directory/apply.go
@@ -116,7 +116,7 @@
 // that the renewal reports takes effect once the target is found alive. A call of another writer, or
 // of an incarnation that has left, changes nothing.
 func (directory *Directory) register(reported Target) Result {
-	target, known := directory.targets.byID[reported.ID]
+	target, known := directory.targets.latest(reported.ID)
 	switch {
 	case known && (directory.isForeign(target, reported) || directory.departures.covers(reported, directory.appliedAt)):
 		return Result{Token: target.Token}
@@ -228,17 +228,16 @@
 	directory.markChanged(target)
 }
 
-// markLeft records that a target leaves, unless the notice is from another start. A failed target
-// stays failed, and becomes TargetLeft if it recovers. The notice of an incarnation that has no record
-// is kept: its registrations may have been held back.
+// markLeft records that a target leaves, and with it each of its earlier starts, which have ended. A
+// notice without a start is that of the latest incarnation, recorded or not. A failed target stays
+// failed, and becomes TargetLeft if it recovers. The notice is kept unless the record is that of the
+// start that leaves: its registrations may have been held back.
 func (directory *Directory) markLeft(departure *Departure) {
-	target, known := directory.targets.byID[departure.ID]
-	unrecorded := !known || target.State == TargetFailed && departure.Started > target.Started
-	switch {
-	case unrecorded:
-		directory.departures.add(departure, directory.appliedAt)
-		return
-	case departure.Started != 0 && departure.Started != target.Started:
+	target, known := directory.targets.latest(departure.ID)
+	if !known || departure.Started != target.Started {
+		directory.departures.addNotice(departure, directory.appliedAt)
+	}
+	if !known || departure.Started != 0 && departure.Started < target.Started {
 		return
 	}
 	switch {
@@ -264,6 +263,9 @@
 		target, known := directory.targets.find(token)
 		if known && target.State == TargetFailed && directory.successor(target) == nil {
 			target.State = target.Before
+			if directory.departures.covers(*target, directory.appliedAt) {
+				target.State = max(target.State, TargetLeft)
+			}
 			directory.markChanged(target)
 		}
 	}
@@ -283,7 +285,7 @@
 // successor returns the latest incarnation with the target's identifier if it is later than the
 // target, else a later incarnation at the target's address that did not fail, else nil.
 func (directory *Directory) successor(target *Target) *Target {
-	if latest := directory.targets.byID[target.ID]; latest != nil && latest.Token > target.Token {
+	if latest, known := directory.targets.latest(target.ID); known && latest.Token > target.Token {
 		return latest
 	}
 	for _, other := range directory.targets.byAddress[target.Address] {
@@ -294,13 +296,16 @@
 	return nil
 }
 
-// removeTargets removes targets and keeps a tombstone of each.
+// removeTargets removes targets and keeps a tombstone of each. That a target left is kept for some time.
 func (directory *Directory) removeTargets(tokens []Token) {
 	for _, token := range tokens {
 		target, known := directory.targets.find(token)
 		if !known {
 			continue
 		}
+		if target.State == TargetLeft || target.Before == TargetLeft {
+			directory.departures.add(target.ID, target.Started, directory.appliedAt)
+		}
 		directory.targets.remove(target)
 		directory.targetTombstones = append(directory.targetTombstones, targetTombstone{token: target.Token, revision: directory.revision})
 	}
--- a/internal/direct/directory/command.go
+++ b/internal/direct/directory/command.go
@@ -40,7 +40,7 @@
 // Departure is a target's notice that it leaves permanently.
 type Departure struct {
 	ID TargetID
-	// Started is the start of the incarnation that leaves; zero for the latest one.
+	// Started is the start of the incarnation that leaves; zero if the notice does not tell it.
 	Started StartTime
 }
 
--- a/internal/direct/directory/departures.go
+++ b/internal/direct/directory/departures.go
@@ -11,18 +11,30 @@
 	// departureTTL is how long a departure is kept by the log's time: longer than a call may be held
 	// back on its way.
 	departureTTL = 2 * time.Minute
+	// lateCallWindow is how long after a departure without a start registrations that tell one may
+	// be late. It ends before departureTTL, because the clock of a target that starts again may be
+	// behind.
+	lateCallWindow = 20 * time.Second
+	// startClockTolerance is how far the clock of a target may be ahead of the log's time. It is
+	// shorter than targets serve on after their departure, so that no later start falls into it.
+	startClockTolerance = 2 * time.Second
 )
 
-// keptDeparture is the departure of an incarnation that has no record.
+// keptDeparture is what is known of the departures of incarnations with an identifier that have no
+// record, or not any more.
 type keptDeparture struct {
-	ID      TargetID
+	ID TargetID
+	// Started is the latest start that is known to have left.
 	Started StartTime
-	// At is the log time of the departure in nanoseconds since 1970.
+	// At is the log time of the latest departure in nanoseconds since 1970.
 	At int64
+	// UntoldAt is that of the latest notice that does not tell its start; zero for none. Snapshots of
+	// earlier versions of the program lack it.
+	UntoldAt int64
 }
 
-// departures has the incarnations that left before any of their registrations was recorded. Their
-// registrations may still arrive. Of each identifier it has the latest departure.
+// departures has the departures of incarnations whose registrations are not recorded and may still
+// arrive.
 type departures struct {
 	byID map[TargetID]keptDeparture
 	// order has the identifiers in the order of their departures.
@@ -31,26 +43,47 @@
 
 func newDepartures() departures { return departures{byID: make(map[TargetID]keptDeparture)} }
 
-// add keeps a departure. It drops expired ones, and the oldest above the bound.
-func (departures *departures) add(departure *Departure, at time.Time) {
-	departures.order = slices.DeleteFunc(departures.order, func(id TargetID) bool {
-		return id == departure.ID || departures.byID[id].expired(at)
+// addNotice keeps the notice of a departure.
+func (departures *departures) addNotice(departure *Departure, at time.Time) {
+	departures.add(departure.ID, departure.Started, at)
+	if departure.Started == 0 {
+		kept := departures.byID[departure.ID]
+		kept.UntoldAt = kept.At
+		departures.byID[departure.ID] = kept
+	}
+}
+
+// add keeps the departure of the starts up to the given one. It drops expired departures, and the oldest
+// above the bound.
+func (departures *departures) add(id TargetID, started StartTime, at time.Time) {
+	departures.order = slices.DeleteFunc(departures.order, func(other TargetID) bool {
+		expired := departures.byID[other].expired(at)
+		if expired {
+			delete(departures.byID, other)
+		}
+		return other == id || expired
 	})
-	departures.order = append(departures.order, departure.ID)
-	departures.byID[departure.ID] = keptDeparture{ID: departure.ID, Started: departure.Started, At: at.UnixNano()}
+	kept := departures.byID[id]
+	kept.ID, kept.Started, kept.At = id, max(kept.Started, started), at.UnixNano()
+	departures.order = append(departures.order, id)
+	departures.byID[id] = kept
 	if excess := len(departures.order) - maxDepartures; excess > 0 {
+		for _, id := range departures.order[:excess] {
+			delete(departures.byID, id)
+		}
 		departures.order = slices.Delete(departures.order, 0, excess)
 	}
-	if len(departures.byID) > len(departures.order) {
-		departures.restore(departures.list())
-	}
 }
 
-// covers reports whether the reporting incarnation has left: the departure is that of its start, or
-// of a later one. A departure without a start covers only incarnations that do not tell theirs.
+// covers reports whether the reporting incarnation has left: a notice told its start or a later one, or
+// it started before a notice that told none. An incarnation that does not tell its start is covered by
+// every notice.
 func (departures *departures) covers(reported Target, at time.Time) bool {
 	kept, left := departures.byID[reported.ID]
-	return left && reported.Started <= kept.Started && !kept.expired(at)
+	if !left || kept.expired(at) {
+		return false
+	}
+	return reported.Started <= kept.Started || kept.coversUntold(reported.Started, at)
 }
 
 // list returns the departures in their order.
@@ -71,6 +104,16 @@
 	}
 }
 
+// coversUntold reports whether an incarnation with the start may have sent a notice without a start, and
+// its registration may be late.
+func (kept keptDeparture) coversUntold(started StartTime, at time.Time) bool {
+	if kept.UntoldAt == 0 {
+		return false
+	}
+	noticed := time.Unix(0, kept.UntoldAt)
+	return at.Sub(noticed) <= lateCallWindow && !time.UnixMilli(int64(started)).After(noticed.Add(startClockTolerance))
+}
+
 func (kept keptDeparture) expired(at time.Time) bool {
 	return at.Sub(time.Unix(0, kept.At)) > departureTTL
 }
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -9,6 +9,8 @@
 //   - the declared version never decreases;
 //   - a token names one incarnation of one target and is never reused;
 //   - a draining target never takes new flows again;
+//   - after a notice that a target leaves, no start up to the one that sent it takes new flows, in
+//     whichever order notices, registrations, health results and removals are applied;
 //   - an incarnation of a target has at most one holder in its lifetime;
 //   - of the incarnations with one identifier, all but the latest have failed permanently;
 //   - an evacuation order changes nothing if another order was applied after its member read the
@@ -188,7 +190,7 @@
 func (directory *Directory) Target(id TargetID) (Target, bool) {
 	directory.lock.RLock()
 	defer directory.lock.RUnlock()
-	target, exists := directory.targets.byID[id]
+	target, exists := directory.targets.latest(id)
 	if !exists {
 		return Target{}, false
 	}
@@ -210,7 +212,7 @@
 func (directory *Directory) TokenOf(id TargetID) (Token, bool) {
 	directory.lock.RLock()
 	defer directory.lock.RUnlock()
-	target, exists := directory.targets.byID[id]
+	target, exists := directory.targets.latest(id)
 	if !exists {
 		return 0, false
 	}
@@ -247,7 +249,7 @@
 func (directory *Directory) IsForeign(reported Target) bool {
 	directory.lock.RLock()
 	defer directory.lock.RUnlock()
-	target, exists := directory.targets.byID[reported.ID]
+	target, exists := directory.targets.latest(reported.ID)
 	return exists && directory.isForeign(target, reported)
 }
 
--- a/internal/direct/directory/targets.go
+++ b/internal/direct/directory/targets.go
@@ -21,33 +21,31 @@
 // targetIndex has the incarnations of targets by identifier, by address, in the order of their
 // tokens, and in the order of their changes.
 //
-// Invariants: each incarnation is once in byToken and once in byAddress; byID has the latest
-// incarnation of each identifier; the last entry of an incarnation in changeLog has its Revision;
+// Invariants: each incarnation is once in byToken and once in byAddress; byID has the
+// incarnations of each identifier in the order of their tokens; the last entry of an incarnation in changeLog has its Revision;
 // the revisions in changeLog never decrease.
 type targetIndex struct {
-	byID      map[TargetID]*Target
+	byID      map[TargetID][]*Target
 	byAddress map[netip.AddrPort][]*Target
 	byToken   []*Target
 	changeLog []targetChange
 }
 
 func newTargetIndex() *targetIndex {
-	return &targetIndex{byID: make(map[TargetID]*Target), byAddress: make(map[netip.AddrPort][]*Target)}
+	return &targetIndex{byID: make(map[TargetID][]*Target), byAddress: make(map[netip.AddrPort][]*Target)}
 }
 
 // add adds a new target, whose token must be higher than all others.
 func (index *targetIndex) add(added *Target) {
-	index.byID[added.ID] = added
+	index.byID[added.ID] = append(index.byID[added.ID], added)
 	index.byAddress[added.Address] = append(index.byAddress[added.Address], added)
 	index.byToken = append(index.byToken, added)
 }
 
 // remove removes a target. Its entries in changeLog become obsolete.
 func (index *targetIndex) remove(target *Target) {
-	if index.byID[target.ID] == target {
-		delete(index.byID, target.ID)
-	}
-	index.removeFromAddress(target)
+	removeFrom(index.byID, target.ID, target)
+	removeFrom(index.byAddress, target.Address, target)
 	if position, found := index.position(target.Token); found {
 		index.byToken = slices.Delete(index.byToken, position, position+1)
 	}
@@ -70,14 +68,23 @@
 	return index.byToken[position], true
 }
 
-// removeFromAddress removes a target from byAddress.
-func (index *targetIndex) removeFromAddress(target *Target) {
-	others := slices.DeleteFunc(index.byAddress[target.Address], func(other *Target) bool { return other == target })
+// latest returns the latest incarnation of the target with the identifier, and whether there is one.
+func (index *targetIndex) latest(id TargetID) (*Target, bool) {
+	incarnations := index.byID[id]
+	if len(incarnations) == 0 {
+		return nil, false
+	}
+	return incarnations[len(incarnations)-1], true
+}
+
+// removeFrom removes a target from the list under a key, and the key with the last one.
+func removeFrom[Key comparable](lists map[Key][]*Target, key Key, target *Target) {
+	others := slices.DeleteFunc(lists[key], func(other *Target) bool { return other == target })
 	if len(others) == 0 {
-		delete(index.byAddress, target.Address)
+		delete(lists, key)
 		return
 	}
-	index.byAddress[target.Address] = others
+	lists[key] = others
 }
 
 // changeAddress gives a target another address.
@@ -85,7 +92,7 @@
 	if target.Address == address {
 		return
 	}
-	index.removeFromAddress(target)
+	removeFrom(index.byAddress, target.Address, target)
 	target.Address = address
 	index.byAddress[address] = append(index.byAddress[address], target)
 }
--- a/internal/direct/registrar/registrar.go
+++ b/internal/direct/registrar/registrar.go
@@ -173,7 +173,9 @@
 	}
 	command := directory.Command{Leave: &departure}
 	registrar.proposer.Propose(command, deadline, func(_ directory.Result, err error) {
-		registrar.logger.Info("target leaves", zap.Uint64("target", uint64(departure.ID)), zap.Int64("started", int64(departure.Started)), zap.Error(err))
+		recorded, _ := registrar.directory.Target(departure.ID)
+		registrar.logger.Info("target leaves", zap.Uint64("target", uint64(departure.ID)), zap.Int64("started", int64(departure.Started)),
+			zap.Int64("recorded_start", int64(recorded.Started)), zap.Stringer("recorded_state", recorded.State), zap.Error(err))
 		done(err)
 	})
 }
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -69,6 +69,11 @@
 		summary: "targets start, their first calls are held back, and arrive after their departure was acknowledged; the leader changes meanwhile",
 		play:    unheardTargets,
 	},
+	{
+		name:    "direct-unheard-restarts",
+		summary: "targets crash, start again with the same identifiers, and leave before the first calls of their new starts arrive; some notices do not tell a start",
+		play:    unheardRestarts,
+	},
 	{
 		name:    "direct-restarted-targets",
 		summary: "targets crash and start again with the same identifiers while renewals of their previous starts arrive seconds late",
@@ -341,6 +346,25 @@
 	}
 }
 
+// unheardRestarts restarts targets that leave before the first call of their new start arrives, and adds
+// a target for each. Some of their notices do not tell their start, and the leader changes in every second
+// round.
+func unheardRestarts(world *World) {
+	for round := range 5 {
+		for _, target := range world.pickReadyTargets(2) {
+			world.AddTarget(target.service, target.zone)
+			leaveAfter := world.random.Between(500*time.Millisecond, 3*time.Second)
+			world.restartUnheard(target, world.random.Chance(0.5), leaveAfter, leaveAfter+world.random.Between(0, 3*time.Second))
+		}
+		if leader := world.leader(); leader != nil && round%2 == 1 {
+			world.RunFor(world.random.Between(time.Second, 4*time.Second))
+			leader.Kill()
+			world.after(2*time.Second, leader.Start)
+		}
+		world.RunFor(14 * time.Second)
+	}
+}
+
 // foreignCalls sends calls that name the address of a living target: the first call of a target that
 // ended before the living one started, with or without its start; and calls of another writer, some
 // of them under the target's identifier. A target crashes meanwhile, and another one takes its address.
--- a/internal/sim/directworld/target.go
+++ b/internal/sim/directworld/target.go
@@ -31,6 +31,8 @@
 	flows        map[*flow]bool
 	// nextMember is the index of the member that is called next, modulo their number.
 	nextMember int
+	// hidesStart makes the target's departure notices omit its start.
+	hidesStart bool
 	// drainAckedAt is when draining or leaving was first acknowledged.
 	drainAckedAt time.Time
 	diedAt       time.Time
@@ -91,6 +93,19 @@
 	world.after(leaveAfter, added.LeaveWithoutDraining)
 }
 
+// restartUnheard crashes a target and starts it again under its identifier. As in startUnheardTarget, it
+// leaves before its first call arrives.
+func (world *World) restartUnheard(target *target, hidesStart bool, leaveAfter, delay time.Duration) {
+	world.recordDisturbance("restart", target.address.String())
+	target.Crash(false)
+	world.after(100*time.Millisecond, func() {
+		restarted := world.newTarget(target.id, target.service, target.zone, target.address)
+		restarted.hidesStart = hidesStart
+		restarted.scheduleLateRenewal(delay)
+		world.after(leaveAfter, restarted.LeaveWithoutDraining)
+	})
+}
+
 // newTarget adds a target that makes no calls yet.
 func (world *World) newTarget(id directory.TargetID, service string, zone model.ZoneName, address netip.AddrPort) *target {
 	added := &target{
@@ -156,6 +171,9 @@
 
 // departure returns the departure notice that the target would send now.
 func (target *target) departure() directory.Departure {
+	if target.hidesStart {
+		return directory.Departure{ID: target.id}
+	}
 	return directory.Departure{ID: target.id, Started: target.started}
 }
 
@@ -214,7 +232,7 @@
 	target.state = directory.TargetLeft
 	world.callMember(target.endpoint(), kernel.Pick(world.random, world.listed()),
 		func(member *Member, now, deadline time.Time, done func(error)) {
-			member.Registrar.Leave(now, target.departure(), deadline, done)
+			world.options.Parts.RecordDeparture(member, target.departure(), now, deadline, done)
 		}, func(error) {})
 	world.after(500*time.Millisecond, func() { target.Crash(false) })
 }
@@ -232,7 +250,7 @@
 	world := target.world
 	world.callMember(target.endpoint(), kernel.Pick(world.random, world.listed()),
 		func(member *Member, now, deadline time.Time, done func(error)) {
-			member.Registrar.Leave(now, target.departure(), deadline, done)
+			world.options.Parts.RecordDeparture(member, target.departure(), now, deadline, done)
 		}, func(err error) {
 			if err != nil {
 				world.after(50*time.Millisecond, target.leaveUntilAcknowledged)
--- a/internal/sim/directworld/world.go
+++ b/internal/sim/directworld/world.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"merlinpaddle/internal/direct/declared"
+	"merlinpaddle/internal/direct/directory"
 	"merlinpaddle/internal/direct/load"
 	"merlinpaddle/internal/direct/steer"
 	"merlinpaddle/internal/direct/transfer"
@@ -39,6 +40,8 @@
 	ReconfigureOptions func(options *reconfigure.Options)
 	// NoticeEnd tells a member that the process of a node has ended.
 	NoticeEnd func(group *replica.Controller, ended model.NodeName)
+	// RecordDeparture handles a target's departure notice at a member.
+	RecordDeparture func(member *Member, departure directory.Departure, now, deadline time.Time, done func(error))
 	// StateMachine wraps the replicated state of a member.
 	StateMachine func(standard replica.StateMachine) replica.StateMachine
 	// Disk wraps a member's disk.
@@ -60,8 +63,11 @@
 		CollectorOptions:   func(*load.CollectorOptions) {},
 		ReconfigureOptions: func(*reconfigure.Options) {},
 		NoticeEnd:          (*replica.Controller).PeerEnded,
-		StateMachine:       func(standard replica.StateMachine) replica.StateMachine { return standard },
-		Disk:               func(standard filesystem.FileSystem) filesystem.FileSystem { return standard },
+		RecordDeparture: func(member *Member, departure directory.Departure, now, deadline time.Time, done func(error)) {
+			member.Registrar.Leave(now, departure, deadline, done)
+		},
+		StateMachine: func(standard replica.StateMachine) replica.StateMachine { return standard },
+		Disk:         func(standard filesystem.FileSystem) filesystem.FileSystem { return standard },
 		ReadConfiguration: func(member *Member, now, deadline time.Time, done func(*declared.Configuration, error)) {
 			member.Registrar.Configuration(now, deadline, done)
 		},
--- a/internal/sim/mutant/direct.go
+++ b/internal/sim/mutant/direct.go
@@ -134,6 +134,19 @@
 				return message, true
 			}),
 		},
+		{
+			Name:     "direct-departure-of-earlier-start",
+			Breaks:   "a departure is recorded for an earlier start than the one that left",
+			Expect:   []checker.Invariant{checker.InvariantDrain},
+			Scenario: namedScenario("direct-unheard-restarts"),
+			Variant: func(_ *sim.Run, parts *world.Parts) {
+				standard := parts.Direct.RecordDeparture
+				parts.Direct.RecordDeparture = func(member *directworld.Member, departure directory.Departure, now, deadline time.Time, done func(error)) {
+					departure.Started = max(1, departure.Started-1)
+					standard(member, departure, now, deadline, done)
+				}
+			},
+		},
 		{
 			Name:     "direct-renewals-unheard",
 			Breaks:   "followers do not forward renewals, so that a late call replaces the target that lives at its address",
