directory: a target that left occupies its address until it stops

Cause: isOccupied counted ready and draining targets only, so that failPredecessors marked a target that left, and that still serves its flows, as failed on the word of one unprobed call. Evidence: no line "target failed", but the registration at its address in the revision in which it failed.

Change: every incarnation that has not failed occupies its address. Against one that left, which renews no more, a single call is no evidence: only two calls replace it. Calls of an undeclared service never replace a target of a declared one.

The case "replaced after it left" of TestStateMovesForwardOnly expected the fault: one call replaces a target that left. It now replaces it as the leader does, and a further case expects that one call changes nothing.

--- a/internal/direct/directory/apply.go
+++ b/internal/direct/directory/apply.go
@@ -193,12 +193,12 @@
 	return Result{Token: added.Token}
 }
 
-// isOccupied reports whether another incarnation takes flows at the address of the added one and is
-// not known to have started before it.
+// isOccupied reports whether another incarnation at the address of the added one has not failed, so that
+// it may serve flows, and is not known to have started before it.
 func (directory *Directory) isOccupied(added *Target) bool {
 	return slices.ContainsFunc(directory.targets.byAddress[added.Address], func(other *Target) bool {
 		replaced := other.Started != 0 && added.Started > other.Started && directory.configuration.HasService(added.Service)
-		return other != added && (other.State == TargetReady || other.State == TargetDraining) && !replaced
+		return other != added && other.State != TargetFailed && !replaced
 	})
 }
 
--- a/internal/direct/directory/directory_test.go
+++ b/internal/direct/directory/directory_test.go
@@ -177,9 +177,14 @@
 			r.replace(1, 2)
 			r.reportRecovered(1)
 		}, TargetFailed},
-		{"replaced after it left", func(r *runner) {
+		{"another target calls from its address after it left", func(r *runner) {
 			r.apply(Command{Leave: &Departure{ID: 1}})
 			r.register(targetAt(2, 1, 1, TargetReady))
+			require.Equal(r.t, TargetFailed, r.state(2))
+		}, TargetLeft},
+		{"replaced after it left", func(r *runner) {
+			r.apply(Command{Leave: &Departure{ID: 1}})
+			r.replace(1, 2)
 			require.Equal(r.t, TargetReady, r.state(2))
 		}, TargetFailed},
 	}
--- a/internal/direct/registrar/health_inspect.go
+++ b/internal/direct/registrar/health_inspect.go
@@ -120,7 +120,9 @@
 
 // isContested reports whether an earlier incarnation, which has not failed, occupies the address of a
 // failed target. The target takes the address over once it has called twice and the occupant has
-// missed a renewal, or several. A probe would prove nothing, because either would answer it.
+// missed a renewal, or several. A probe would prove nothing, because either would answer it. An occupant
+// that has left renews no more, so that a single call does not suffice against it. Calls of a service
+// that is not declared never suffice against one that is: they come from another writer.
 func (health *HealthMonitor) isContested(now time.Time, target *directory.Target, observed *observation) bool {
 	occupant, contested := health.directory.Occupant(target.Token)
 	if !contested {
@@ -132,7 +134,10 @@
 	}
 	silence := observed.renewedAt.Sub(health.observationOf(occupant.Token).renewedAt)
 	calledTwice := observed.renewedAt.Sub(observed.contestedAt) >= health.options.MissedAfter/2
-	if silence < health.options.MissedAfter || !calledTwice && silence < occupantMissedRenewals*health.options.MissedAfter {
+	missedSeveral := silence >= occupantMissedRenewals*health.options.MissedAfter && occupant.State != directory.TargetLeft
+	configuration := health.directory.Configuration()
+	foreign := configuration.HasService(occupant.Service) && !configuration.HasService(target.Service)
+	if foreign || silence < health.options.MissedAfter || !calledTwice && !missedSeveral {
 		return true
 	}
 	health.logger.Info("target replaced at its address",
--- a/internal/sim/directworld/stories.go
+++ b/internal/sim/directworld/stories.go
@@ -64,6 +64,11 @@
 		summary: "first calls of targets that ended unheard, and calls of other writers, name the addresses and identifiers of living targets; targets are replaced meanwhile",
 		play:    foreignCalls,
 	},
+	{
+		name:    "direct-leaving-addresses",
+		summary: "late first calls, and calls of other writers, name the addresses of targets that leave and still serve their flows",
+		play:    leavingAddresses,
+	},
 	{
 		name:    "direct-unheard-targets",
 		summary: "targets start, their first calls are held back, and arrive after their departure was acknowledged; the leader changes meanwhile",
@@ -384,6 +389,26 @@
 	}
 }
 
+// leavingAddresses sends such calls while the targets at the addresses leave without draining, and adds a
+// target for each. In every second round, a target takes over the address after the leaving one has ended.
+func leavingAddresses(world *World) {
+	for round := range 5 {
+		for _, leaver := range world.pickReadyTargets(2) {
+			world.AddTarget(leaver.service, leaver.zone)
+			leaver.LeaveWithoutDraining()
+			for range 2 {
+				world.after(world.random.Between(500*time.Millisecond, 6*time.Second), func() { world.sendForeignCall(leaver, world.random.IntN(4)) })
+			}
+			if round%2 == 1 {
+				world.after(world.random.Between(10*time.Second, 11*time.Second), func() {
+					world.addTargetAt(leaver.service, leaver.zone, leaver.address)
+				})
+			}
+		}
+		world.RunFor(18 * time.Second)
+	}
+}
+
 const (
 	// otherStart is the difference between the start of a living target and the one that a foreign
 	// call tells, in milliseconds.
@@ -396,6 +421,7 @@
 func (world *World) sendForeignCall(victim *target, kind int) {
 	call := victim.registration()
 	call.Sequence += 7 // above those of the target's next calls
+	call.State = directory.TargetReady
 	switch kind {
 	case 0: // the late first call of an earlier target
 		call.ID, call.Started = world.newTargetID(), victim.started-otherStart
--- a/internal/sim/mutant/direct.go
+++ b/internal/sim/mutant/direct.go
@@ -147,6 +147,17 @@
 				}
 			},
 		},
+		{
+			Name:     "direct-left-targets-failed",
+			Breaks:   "balancers treat targets that left as failed",
+			Expect:   []checker.Invariant{checker.InvariantFlowKept},
+			Scenario: namedScenario("direct-leaving-addresses"),
+			Variant: directTargets(func(target *directory.TargetEntry) {
+				if target.State == directory.TargetLeft {
+					target.State = directory.TargetFailed
+				}
+			}),
+		},
 		{
 			Name:     "direct-renewals-unheard",
 			Breaks:   "followers do not forward renewals, so that a late call replaces the target that lives at its address",
