wal: make the last frame durable when a log is opened

Cause: a process that ends between the write and the sync of a frame, or because the sync failed, leaves a frame that the next process reads, counts as durable and acknowledges without a sync.

Change: Open writes the last frame again and syncs file and folder; a sync alone may succeed without the frame after an earlier one failed. If the tail cannot be made durable, Open closes its file.

--- a/internal/wal/scan.go
+++ b/internal/wal/scan.go
@@ -30,6 +30,8 @@
 	bytes int64
 	// tailSize is the length of the valid frames at the start of the last segment.
 	tailSize int64
+	// tailFrame is the last of these frames.
+	tailFrame []byte
 	// tornBytes is the length of the torn frame after them, or the size of tornSegment.
 	tornBytes int64
 	// tornSegment is the number of a last segment whose header frame is torn, or zero. It is not
@@ -129,6 +131,7 @@
 		return err
 	}
 	scan.segments = append(scan.segments, segment{number: number})
+	scan.tailFrame = data[:length]
 	offset := length
 	for offset < len(data) {
 		body, length, valid = readFrame(data[offset:])
@@ -138,6 +141,7 @@
 		if err := scan.readBatch(number, offset, body); err != nil {
 			return err
 		}
+		scan.tailFrame = data[offset : offset+length]
 		offset += length
 	}
 	scan.tailSize = int64(offset)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -127,8 +127,9 @@
 	return &Log{files: files, options: options}
 }
 
-// Open reads an existing log, removes a torn tail and prepares the log for Append. A log that is
-// damaged, incomplete, of an unknown version or of another member is refused and left unchanged.
+// Open reads an existing log, removes a torn tail, makes what it read durable and prepares the log for
+// Append. A log that is damaged, incomplete, of an unknown version or of another member is refused and
+// left unchanged.
 func Open(files filesystem.FileSystem, options Options) (*Log, Recovered, error) {
 	scan, err := scanLog(files, options.Folder)
 	if err != nil {
@@ -166,24 +167,30 @@
 	}
 	log.file = file
 	log.size = scan.tailSize
-	if err := log.truncateTail(scan.tornBytes); err != nil {
+	if err := log.makeTailDurable(scan.tornBytes, scan.tailFrame); err != nil {
+		_ = file.Close() // the first error is the cause
 		return log.fail(err)
 	}
 	return nil
 }
 
-// truncateTail removes a torn frame and seeks to the end of the last segment.
-func (log *Log) truncateTail(tornBytes int64) error {
+// makeTailDurable removes a torn frame, makes the last segment and its last frame durable, and leaves the
+// file at its end. The process that wrote the frame may have ended before it was synced, or because the
+// sync failed. After a failed sync, a later one may succeed without the frame, so it is written again.
+// All frames before it were synced before it was written.
+func (log *Log) makeTailDurable(tornBytes int64, lastFrame []byte) error {
 	if tornBytes > 0 {
 		if err := log.file.Truncate(log.size); err != nil {
 			return err
 		}
-		if err := log.file.Sync(); err != nil {
-			return err
-		}
 	}
-	_, err := log.file.Seek(log.size, io.SeekStart)
-	return err
+	if _, err := log.file.Seek(log.size-int64(len(lastFrame)), io.SeekStart); err != nil {
+		return err
+	}
+	if err := writeAndSync(log.file, lastFrame); err != nil {
+		return err
+	}
+	return log.files.SyncDir(log.options.Folder)
 }
 
 func (log *Log) removeSegment(number uint64) error {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -280,6 +280,30 @@
 	require.Equal(t, entriesFrom(1, 2, 1), recovered.Entries)
 }
 
+// TestReopenedLogSurvivesPowerLoss guards against the loss of an acknowledged entry: the process ended
+// between the write and the sync of the last frame, or because the sync failed, and the next one counted the
+// frame as durable without a sync. The frame is a batch, or the header of a segment.
+func TestReopenedLogSurvivesPowerLoss(t *testing.T) {
+	for seed := range uint64(50) {
+		for _, entries := range []uint64{3, 20} {
+			disk := memory.New(seed)
+			log := createLog(t, disk)
+			appendEntries(t, log, entriesFrom(1, 2, 1))
+			appendEntries(t, log, entriesFrom(3, entries, 1))
+			disk.FailSyncs(1)
+			require.Equal(t, faults.StorageWriteFailed, faults.CodeOf(log.Append(Batch{Entries: entriesFrom(entries+1, entries+1, 1)})))
+			_, recovered, err := Open(disk, testOptions)
+			require.NoError(t, err)
+			disk.Crash()
+			_, again, err := Open(disk, testOptions)
+			require.NoError(t, err)
+			require.Equal(t, recovered.Entries, again.Entries, "seed %d", seed)
+			require.Equal(t, recovered.HardState, again.HardState)
+			require.Zero(t, again.TornBytes, "what was read is not torn")
+		}
+	}
+}
+
 func TestLogStopsWhenTheDiskIsFull(t *testing.T) {
 	disk := memory.New(1)
 	log := createLog(t, disk)
