raft: the log's time goes on while the leader's clock is behind the log

What callers could see: a departure without a start shuts out starts of the same identifier for 20 s by the log's time. If the leader's clock was set back by an hour, or that of an earlier leader was an hour ahead, the log's time stood still until the clock had caught up, and a target that starts again would get no flows for as long.

Cause: the time of an entry was the later one of the leader's clock and the time of the previous entry.

Change: the previous entry's time advances by the time that has passed since this leader appended it.

--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -27,22 +27,33 @@
 	return nil
 }
 
-// appendEntry adds one entry to the leader's log and returns its index. The log
-// time is the leader's clock, but never before the previous entry's time.
+// appendEntry adds one entry to the leader's log and returns its index.
 func (raft *Raft) appendEntry(kind EntryKind, data []byte) uint64 {
 	entry := Entry{
 		Index: raft.log.lastIndex() + 1,
 		Term:  raft.term,
-		At:    max(raft.now.UnixNano(), raft.log.lastAt()),
+		At:    raft.logTime(),
 		Kind:  kind,
 		Data:  data,
 	}
+	raft.appendedAt = raft.now
 	raft.log.append(entry)
 	raft.activateConfiguration(entry)
 	raft.appendRequested = true
 	return entry.Index
 }
 
+// logTime returns the log time of the next entry: the leader's clock, but never before the previous
+// entry's time. If the clock was set back, the log time goes on from that entry by the elapsed time, so
+// that what expires by it does not wait until the clock has caught up.
+func (raft *Raft) logTime() int64 {
+	previous := raft.log.lastAt()
+	if !raft.appendedAt.IsZero() {
+		previous += raft.now.Sub(raft.appendedAt).Nanoseconds()
+	}
+	return max(raft.now.UnixNano(), previous)
+}
+
 // flush sends the requested heartbeat round, appends and commit notices, each
 // once for everything that arrived since the last Ready.
 func (raft *Raft) flush() {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -148,7 +148,9 @@
 	ended map[MemberID]bool
 
 	// The fields below are used by the leader only.
-	leaderSince       time.Time
+	leaderSince time.Time
+	// appendedAt is when this leader appended its latest entry; zero before the first one.
+	appendedAt        time.Time
 	progress          map[MemberID]*Progress
 	round             uint64
 	unconfirmedRounds []heartbeatRound
@@ -430,4 +432,5 @@
 	raft.roundRequested = false
 	raft.appendRequested = false
 	raft.transferTarget = 0
+	raft.appendedAt = time.Time{}
 }
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -248,6 +248,21 @@
 }
 
 // TestLogTimeNeverGoesBack elects a leader whose clock is behind the log time.
+// TestLogTimeGoesOnWhileTheClockIsBehind guards against what expires by the log's time and does not, because
+// the leader's clock is behind the log: it was set back, or that of an earlier leader was ahead.
+func TestLogTimeGoesOnWhileTheClockIsBehind(t *testing.T) {
+	raft := newMember(1, 1)
+	ahead := testStart.Add(time.Hour)
+	raft.log.entries[0].At = ahead.UnixNano()
+	electLeader(t, raft)
+	elected := raft.now
+	for _, elapsed := range []time.Duration{time.Second, 3 * time.Second} {
+		_, _, err := raft.Propose(elected.Add(elapsed), []byte("x"))
+		require.NoError(t, err)
+		require.Equal(t, ahead.Add(elapsed).UnixNano(), raft.log.lastAt())
+	}
+}
+
 func TestLogTimeNeverGoesBack(t *testing.T) {
 	raft := newMember(1, 1)
 	ahead := testStart.Add(time.Hour).UnixNano()
