wal: a full disk does not keep a log from being opened; directory: drop expired departures from the front

Departures are kept in the order of the log's time, so that expired ones are dropped from the front in place of a pass over all of them for each one that is added.

--- a/internal/direct/directory/departures.go
+++ b/internal/direct/directory/departures.go
@@ -28,9 +28,9 @@
 	Started StartTime
 	// At is the log time of the latest departure in nanoseconds since 1970.
 	At int64
-	// UntoldAt is that of the latest notice that does not tell its start; zero for none. Snapshots of
-	// earlier versions of the program lack it.
-	UntoldAt int64
+	// WithoutStartAt is the log time of the latest notice that does not tell its start; zero for none.
+	// Snapshots of earlier versions of the program lack it.
+	WithoutStartAt int64
 }
 
 // departures has the departures of incarnations whose registrations are not recorded and may still
@@ -48,7 +48,7 @@
 	departures.add(departure.ID, departure.Started, at)
 	if departure.Started == 0 {
 		kept := departures.byID[departure.ID]
-		kept.UntoldAt = kept.At
+		kept.WithoutStartAt = kept.At
 		departures.byID[departure.ID] = kept
 	}
 }
@@ -56,25 +56,26 @@
 // add keeps the departure of the starts up to the given one. It drops expired departures, and the oldest
 // above the bound.
 func (departures *departures) add(id TargetID, started StartTime, at time.Time) {
-	departures.order = slices.DeleteFunc(departures.order, func(other TargetID) bool {
-		expired := departures.byID[other].expired(at)
-		if expired {
-			delete(departures.byID, other)
-		}
-		return other == id || expired
-	})
-	kept := departures.byID[id]
+	for len(departures.order) > 0 && departures.byID[departures.order[0]].expired(at) {
+		departures.dropOldest()
+	}
+	kept, known := departures.byID[id]
+	if known {
+		departures.order = slices.DeleteFunc(departures.order, func(other TargetID) bool { return other == id })
+	}
 	kept.ID, kept.Started, kept.At = id, max(kept.Started, started), at.UnixNano()
 	departures.order = append(departures.order, id)
 	departures.byID[id] = kept
-	if excess := len(departures.order) - maxDepartures; excess > 0 {
-		for _, id := range departures.order[:excess] {
-			delete(departures.byID, id)
-		}
-		departures.order = slices.Delete(departures.order, 0, excess)
+	if len(departures.order) > maxDepartures {
+		departures.dropOldest()
 	}
 }
 
+func (departures *departures) dropOldest() {
+	delete(departures.byID, departures.order[0])
+	departures.order = departures.order[1:]
+}
+
 // covers reports whether the reporting incarnation has left: a notice told its start or a later one, or
 // it started before a notice that told none. An incarnation that does not tell its start is covered by
 // every notice.
@@ -83,7 +84,7 @@
 	if !left || kept.expired(at) {
 		return false
 	}
-	return reported.Started <= kept.Started || kept.coversUntold(reported.Started, at)
+	return reported.Started <= kept.Started || kept.coversWithoutStart(reported.Started, at)
 }
 
 // list returns the departures in their order.
@@ -104,13 +105,13 @@
 	}
 }
 
-// coversUntold reports whether an incarnation with the start may have sent a notice without a start, and
+// coversWithoutStart reports whether an incarnation with the start may have sent a notice without a start, and
 // its registration may be late.
-func (kept keptDeparture) coversUntold(started StartTime, at time.Time) bool {
-	if kept.UntoldAt == 0 {
+func (kept keptDeparture) coversWithoutStart(started StartTime, at time.Time) bool {
+	if kept.WithoutStartAt == 0 {
 		return false
 	}
-	noticed := time.Unix(0, kept.UntoldAt)
+	noticed := time.Unix(0, kept.WithoutStartAt)
 	return at.Sub(noticed) <= lateCallWindow && !time.UnixMilli(int64(started)).After(noticed.Add(startClockTolerance))
 }
 
--- a/internal/direct/directory/targets.go
+++ b/internal/direct/directory/targets.go
@@ -21,9 +21,9 @@
 // targetIndex has the incarnations of targets by identifier, by address, in the order of their
 // tokens, and in the order of their changes.
 //
-// Invariants: each incarnation is once in byToken and once in byAddress; byID has the
-// incarnations of each identifier in the order of their tokens; the last entry of an incarnation in changeLog has its Revision;
-// the revisions in changeLog never decrease.
+// Invariants: each incarnation is once in byToken and once in byAddress; byID has the incarnations of
+// each identifier in the order of their tokens; the last entry of an incarnation in changeLog has its
+// Revision; the revisions in changeLog never decrease.
 type targetIndex struct {
 	byID      map[TargetID][]*Target
 	byAddress map[netip.AddrPort][]*Target
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -176,8 +176,9 @@
 
 // makeTailDurable removes a torn frame, makes the last segment and its last frame durable, and leaves the
 // file at its end. The process that wrote the frame may have ended before it was synced, or because the
-// sync failed. After a failed sync, a later one may succeed without the frame, so it is written again.
-// All frames before it were synced before it was written.
+// sync failed. After a failed sync, a later one may succeed without the frame, so it is written again. A
+// full disk may refuse that, and the frame is only synced then, so that the member can start. All frames
+// before the last one were synced before it was written.
 func (log *Log) makeTailDurable(tornBytes int64, lastFrame []byte) error {
 	if tornBytes > 0 {
 		if err := log.file.Truncate(log.size); err != nil {
@@ -187,7 +188,13 @@
 	if _, err := log.file.Seek(log.size-int64(len(lastFrame)), io.SeekStart); err != nil {
 		return err
 	}
-	if err := writeAndSync(log.file, lastFrame); err != nil {
+	if _, err := log.file.Write(lastFrame); err != nil && faults.CodeOf(writeFault(err)) != faults.StorageFull {
+		return err
+	}
+	if err := log.file.Sync(); err != nil {
+		return err
+	}
+	if _, err := log.file.Seek(log.size, io.SeekStart); err != nil {
 		return err
 	}
 	return log.files.SyncDir(log.options.Folder)
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -304,6 +304,25 @@
 	}
 }
 
+// TestLogIsOpenedOnAFullDisk checks that a full disk, which may refuse to write the last frame again, does
+// not keep a member from starting.
+func TestLogIsOpenedOnAFullDisk(t *testing.T) {
+	disk := memory.New(1)
+	appendEntries(t, createLog(t, disk), entriesFrom(1, 2, 1))
+	disk.SetCapacity(1)
+	log, recovered, err := Open(disk, testOptions)
+	require.NoError(t, err)
+	require.Equal(t, entriesFrom(1, 2, 1), recovered.Entries)
+	require.Equal(t, faults.StorageFull, faults.CodeOf(log.Append(Batch{Entries: entriesFrom(3, 3, 1)})))
+	disk.SetCapacity(0)
+	log, _, err = Open(disk, testOptions)
+	require.NoError(t, err)
+	appendEntries(t, log, entriesFrom(3, 4, 1))
+	_, recovered, err = Open(disk, testOptions)
+	require.NoError(t, err)
+	require.Equal(t, entriesFrom(1, 4, 1), recovered.Entries)
+}
+
 func TestLogStopsWhenTheDiskIsFull(t *testing.T) {
 	disk := memory.New(1)
 	log := createLog(t, disk)
