raft: followers of an ended leader campaign two heartbeat intervals apart

The first follower's request for a pre-vote was lost. It repeated it one heartbeat interval later, exactly when the turn of the second one came: both became candidates within 1 ms and split the votes, and their random waits coincided once more.

Change: the turns are two heartbeat intervals apart, so that a repeated request is answered before the next follower campaigns.

--- a/internal/raft/ended.go
+++ b/internal/raft/ended.go
@@ -2,6 +2,11 @@
 
 import "time"
 
+// heartbeatsPerTurn is the time between the campaigns of two followers of an ended leader, in heartbeat
+// intervals. A candidate repeats a lost request one interval later, and the answer must arrive before the
+// next follower's campaign.
+const heartbeatsPerTurn = 2
+
 // PeerEnded records that the process of a member has ended: its machine refused a connection. The
 // record lasts until the member's next message. A frozen, slow or unreachable process refuses no
 // connection. A follower whose leader has ended starts an election without waiting for the election
@@ -17,7 +22,8 @@
 		return
 	}
 	raft.leader = 0
-	wait := raft.options.HeartbeatInterval/2 + time.Duration(raft.rankAmongRunningVoters())*raft.options.HeartbeatInterval
+	turn := time.Duration(raft.rankAmongRunningVoters()*heartbeatsPerTurn) * raft.options.HeartbeatInterval
+	wait := raft.options.HeartbeatInterval/2 + turn
 	if campaignAt := raft.now.Add(wait); campaignAt.Before(raft.electionDeadline) {
 		raft.electionDeadline = campaignAt
 	}
