--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -239,13 +239,17 @@
 	return nil
 }
 
-// setAccepting publishes whether the agent accepts new flows.
+// setAccepting publishes whether the agent accepts new flows. The QUIC server accepts connections for as
+// long as flows are opened, because it would refuse the caller of a flow that was opened before.
 func (agent *Agent) setAccepting(accepting bool) {
-	agent.accepting.Store(accepting)
-	agent.readiness.Set(readinessAccepting, accepting)
+	if !accepting {
+		agent.accepting.Store(false)
+	}
 	if current := agent.instance.Load(); current != nil {
 		current.setAccepting(accepting)
 	}
+	agent.accepting.Store(accepting)
+	agent.readiness.Set(readinessAccepting, accepting)
 }
 
 // currentService returns the service with the ID of fallback from the current
